Add the rpc library: bounded HTTP servers, kept connections, JSON-RPC

Cause: the daemons need one HTTP stack with chosen addresses, deadlines, keys and bounded connections. cpp-httplib queues connections beyond its pool without a bound and listens with a backlog of 5. Change: libs/rpc over cpp-httplib and libjsonrpccpp. A server has one thread for each connection up to its bound and answers further ones 503 at once; its own stream class replaces the library's private one. An explicit instantiation to reach the base's private function was tried first: the virtual call led back to the override and recursed.

--- /dev/null
+++ b/libs/rpc/tests/http_server_test.cpp
@@ -0,0 +1,108 @@
+#include <arpa/inet.h>
+#include <doctest/doctest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <thread>
+
+#include "tanagerpaddle/rpc.hpp"
+
+using namespace tanagerpaddle;
+
+namespace {
+
+// A raw connection that sends nothing, as a half-open peer would.
+class silent_connection {
+public:
+    explicit silent_connection(std::uint16_t port) : socket_(::socket(AF_INET, SOCK_STREAM, 0)) {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        REQUIRE(::connect(socket_, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
+    }
+    silent_connection(const silent_connection&) = delete;
+    silent_connection& operator=(const silent_connection&) = delete;
+    ~silent_connection() { ::close(socket_); }
+
+private:
+    int socket_;
+};
+
+http_response echo(const http_request& request) {
+    http_response response;
+    response.body = request.body;
+    return response;
+}
+
+http_call make_call(const http_server& server, const tanagerpaddle::clock& time,
+                    const std::string& body) {
+    http_call call;
+    call.to = {"127.0.0.1", server.port()};
+    call.path = "/echo";
+    call.body = body;
+    call.limit = deadline::after(time.now(), milliseconds(3000));
+    call.first_byte = call.limit;
+    return call;
+}
+
+}  // namespace
+
+// Without the bound, callers beyond the pool's size wait in a queue until their deadline.
+TEST_CASE("connections beyond the bound are refused at once while silent ones hold the pool") {
+    system_clock time;
+    http_server server({.listen = {"127.0.0.1", 0}, .connections = 2});
+    server.route("POST", "/echo", [](const http_request& request) { return echo(request); });
+    server.start();
+    const silent_connection first(server.port());
+    const silent_connection second(server.port());
+    std::this_thread::sleep_for(milliseconds(50));
+    http_client_pool connections(time, 4);
+    const instant started = time.now();
+    const http_result result = connections.call(make_call(server, time, "x"));
+    CHECK(result.response.status == 503);
+    CHECK(result.response.header(header_name::result) == "206");
+    CHECK(time.now() - started < std::chrono::seconds(1));
+    CHECK(server.refused_connections() == 1);
+}
+
+TEST_CASE("a body beyond the limit is refused with its numbered code") {
+    system_clock time;
+    http_server server({.listen = {"127.0.0.1", 0}, .max_body_bytes = 1000});
+    server.route("POST", "/echo", [](const http_request& request) { return echo(request); });
+    server.start();
+    http_client_pool connections(time, 4);
+    CHECK(connections.call(make_call(server, time, std::string(1000, 'x'))).response.status == 200);
+    const auto refused = connections.call(make_call(server, time, std::string(1001, 'x')));
+    CHECK(refused.response.status == 413);
+    CHECK(refused.response.header(header_name::result) == "101");
+}
+
+// A server that closes kept connections without notice cuts off the next request on them.
+TEST_CASE("a draining server asks its clients to close their connections") {
+    system_clock time;
+    http_server server({.listen = {"127.0.0.1", 0}});
+    server.route("POST", "/echo", [](const http_request&) { return http_response{}; });
+    server.start();
+    http_client_pool connections(time, 4);
+    CHECK(connections.call(make_call(server, time, "x")).response.status == 200);
+    CHECK(connections.idle_count() == 1);
+    server.set_draining();
+    CHECK(connections.call(make_call(server, time, "x")).response.status == 200);
+    CHECK(connections.idle_count() == 0);
+}
+
+TEST_CASE("an answer that does not come by its deadline is reported as unknown") {
+    system_clock time;
+    http_server server({.listen = {"127.0.0.1", 0}});
+    server.route("POST", "/echo", [](const http_request&) {
+        std::this_thread::sleep_for(milliseconds(300));
+        return http_response{};
+    });
+    server.start();
+    http_client_pool connections(time, 4);
+    http_call call = make_call(server, time, "x");
+    call.limit = deadline::after(time.now(), milliseconds(50));
+    const auto result = connections.call(call);
+    CHECK(result.failure == http_failure::no_answer);
+}
