--- a/libs/telemetry/src/latency_histogram.cpp
+++ b/libs/telemetry/src/latency_histogram.cpp
@@ -5,6 +5,7 @@
 #include <boost/histogram/make_histogram.hpp>
 #include <boost/histogram/storage_adaptor.hpp>
 #include <cmath>
+#include <numeric>
 #include <tuple>
 
 #include "tanagerpaddle/telemetry.hpp"
@@ -65,28 +66,30 @@
 }
 
 double latency_histogram::quantile(double q) const {
-    std::array<std::uint64_t, bin_count + 2> counts{};
-    std::uint64_t total = 0;
+    std::vector<std::uint64_t> counts;
     for (int bin = -1; bin <= bin_count; ++bin) {
-        total += counts.at(static_cast<std::size_t>(bin + 1)) = bins_->at(bin);
+        counts.push_back(bins_->at(bin));
     }
+    const std::uint64_t total = std::accumulate(counts.begin(), counts.end(), std::uint64_t{0});
     if (total == 0) {
         return 0;
     }
     const double rank =
         std::max(1.0, std::ceil(std::clamp(q, 0.0, 1.0) * static_cast<double>(total)));
-    std::uint64_t below = 0;
-    for (int bin = -1; bin <= bin_count; ++bin) {
-        const std::uint64_t here = counts.at(static_cast<std::size_t>(bin + 1));
-        if (here > 0 && static_cast<double>(below + here) >= rank) {
+    double below = 0;
+    int bin = -1;
+    for (const std::uint64_t here : counts) {
+        const auto records = static_cast<double>(here);
+        if (here > 0 && below + records >= rank) {
             if (bin < 0 || bin == bin_count) {
                 return bin < 0 ? lowest_seconds : highest_seconds;
             }
             // Interpolates on the logarithmic axis within the bin.
-            const double share = (rank - static_cast<double>(below)) / static_cast<double>(here);
+            const double share = (rank - below) / records;
             return bins::upper_bound(bin - 1) * std::pow(10.0, share / bins_per_decade);
         }
-        below += here;
+        below += records;
+        ++bin;
     }
     return highest_seconds;
 }
--- a/libs/telemetry/src/log.cpp
+++ b/libs/telemetry/src/log.cpp
@@ -175,7 +175,7 @@
 
 // Never destroyed: other static objects may log while the process exits.
 process_log& shared_log() {
-    static auto* const instance = new process_log;  // NOLINT(cppcoreguidelines-owning-memory)
+    static auto* const instance = new process_log;
     return *instance;
 }
 
--- a/libs/telemetry/src/metrics_registry.cpp
+++ b/libs/telemetry/src/metrics_registry.cpp
@@ -167,8 +167,8 @@
                                       : row.kind == metric_kind::gauge ? "gauge"
                                                                        : "histogram";
         const std::string name(row.name);
-        text += "# HELP " + name + " " + escaped(row.help) + "\n# TYPE " + name + " " +
-                std::string(kind) + "\n";
+        text.append("# HELP ").append(name).append(" ").append(escaped(row.help)).append("\n");
+        text.append("# TYPE ").append(name).append(" ").append(kind).append("\n");
         print_family(text, row, state_->counters.all.at(index));
         print_family(text, row, state_->gauges.all.at(index));
         print_family(text, row, state_->latencies.all.at(index));
@@ -178,7 +178,7 @@
 
 metrics_registry& metrics() {
     // Never destroyed: other static objects may count while the process exits.
-    static auto* const instance = new metrics_registry;  // NOLINT(cppcoreguidelines-owning-memory)
+    static auto* const instance = new metrics_registry;
     return *instance;
 }
 
