--- a/libs/config/src/diff.cpp
+++ b/libs/config/src/diff.cpp
@@ -49,12 +49,13 @@
         std::set<std::string> kept;
         for (const auto& item : to) {
             const std::string& id = item.id.value();
+            const std::string item_path = std::string(path).append("[").append(id).append("]");
             const auto old_item = old_items.find(id);
             if (old_item == old_items.end()) {
-                add(change_kind::added, path + "[" + id + "]", "");
+                add(change_kind::added, item_path, "");
             } else {
                 kept.insert(id);
-                compare_fields(path + "[" + id + "]", *old_item->second, item);
+                compare_fields(item_path, *old_item->second, item);
             }
         }
         for (const auto& item : from) {
--- a/libs/settings/src/load.cpp
+++ b/libs/settings/src/load.cpp
@@ -119,8 +119,11 @@
         return;
     }
     try {
-        const YAML::Node root = YAML::Load(std::string(text));
-        if (root.IsMap()) {
+        const auto documents = YAML::LoadAll(std::string(text));
+        const YAML::Node root = documents.empty() ? YAML::Node() : documents.front();
+        if (documents.size() > 1) {
+            state.report(0, "", std::to_string(documents.size()) + " documents", "one document");
+        } else if (root.IsMap()) {
             take_node(state, "", root, 0);
         } else if (!root.IsNull()) {
             state.report(1, "", "(not a map)", "a map of keys");
