Add the routing library: target pool, strategies, admission, retries

Cause: the entry needs one place that decides which target serves a request, how many requests a target gets, and when a request waits, is shed, retried, hedged or abandoned.

--- /dev/null
+++ b/libs/routing/src/ejection.cpp
@@ -0,0 +1,121 @@
+#include <algorithm>
+
+#include "pool_state.hpp"
+
+namespace tanagerpaddle {
+
+namespace {
+
+constexpr std::uint32_t least_samples = 10;
+
+}  // namespace
+
+void pool_state::eject(const pool_entry& entry, std::int64_t now_ns) {
+    target_counters& counters = *entry.counters;
+    const outlier_options& options = options_.outliers;
+    const auto before = counters.backoff_ns.load();
+    const bool is_recent = before > 0 && now_ns - counters.ejected_at_ns.load() <
+                                             before + options.forget_after.count();
+    const auto backoff = is_recent
+                             ? std::min<std::int64_t>(2 * before, options.longest_backoff.count())
+                             : options.first_backoff.count();
+    counters.backoff_ns.store(backoff);
+    counters.ejected_at_ns.store(now_ns);
+    counters.probe_at_ns.store(now_ns + backoff);
+    counters.health.store(health_state::ejected);
+    lower_to(entry.service->next_probe_ns, now_ns + backoff);
+}
+
+bool pool_state::can_eject(const service_group& group, const pool_entry& entry) const {
+    std::size_t ejected = 0;
+    std::size_t compared = 0;
+    double failures = 0;
+    for (const auto& other : group.candidates) {
+        const target_counters& counters = *other->counters;
+        if (other->counters == entry.counters) {
+            continue;
+        }
+        if (counters.health.load() != health_state::healthy) {
+            ++ejected;
+        } else if (counters.samples.load(std::memory_order_relaxed) > 0) {
+            ++compared;
+            failures += counters.failures();
+        }
+    }
+    const bool is_half_left = (ejected + 1) * 2 <= group.candidates.size();
+    return is_half_left && compared > 0 &&
+           failures / static_cast<double>(compared) < options_.outliers.most_fleet_failure_share;
+}
+
+void pool_state::return_excess(const service_group& group, std::int64_t now_ns) {
+    std::vector<target_counters*> ejected;
+    for (const auto& entry : group.candidates) {
+        if (entry->counters->health.load() != health_state::healthy) {
+            ejected.push_back(entry->counters.get());
+        }
+    }
+    std::sort(ejected.begin(), ejected.end(), [](const auto* a, const auto* b) {
+        return a->probe_at_ns.load() < b->probe_at_ns.load();
+    });
+    const std::size_t most = group.candidates.size() / 2;
+    for (std::size_t index = 0; index + most < ejected.size(); ++index) {
+        // A target whose probe is under way returns by its outcome.
+        auto expected = health_state::ejected;
+        ejected[index]->returned_at_ns.store(now_ns);
+        ejected[index]->consecutive_failures.store(0);
+        ejected[index]->health.compare_exchange_strong(expected, health_state::healthy);
+    }
+}
+
+void pool_state::eject_if_outlier(const pool_entry& entry, std::int64_t now_ns) {
+    const outlier_options& options = options_.outliers;
+    target_counters& counters = *entry.counters;
+    const auto in_a_row = counters.consecutive_failures.load(std::memory_order_relaxed);
+    const bool is_suspect = in_a_row >= options.consecutive_failures ||
+                            (counters.failures() >= options.failure_share &&
+                             counters.samples.load(std::memory_order_relaxed) >= least_samples);
+    if (!options.is_enabled || !is_suspect || counters.health.load() != health_state::healthy) {
+        return;
+    }
+    const std::lock_guard lock(health_mutex_);
+    // Under the mutex the snapshot is not replaced, so it needs no read section.
+    const auto& services = snapshot_.load().services;
+    const auto group = services.find(entry.target.service);
+    if (group == services.end() || counters.health.load() != health_state::healthy) {
+        return;
+    }
+    const auto& candidates = group->second.candidates;
+    const bool is_candidate = std::any_of(candidates.begin(), candidates.end(), [&](const auto& e) {
+        return e->counters == entry.counters;
+    });
+    if (is_candidate && can_eject(group->second, entry)) {
+        eject(entry, now_ns);
+    }
+}
+
+void pool_state::end_probe(const pool_entry& entry, outcome_kind kind, std::int64_t now_ns) {
+    target_counters& counters = *entry.counters;
+    const std::lock_guard lock(health_mutex_);
+    check_invariant(counters.health.load() == health_state::probing,
+                    "probe of target " + entry.target.id.value() + " ended, but it is not probing");
+    if (kind == outcome_kind::failure) {
+        eject(entry, now_ns);
+        return;
+    }
+    if (kind == outcome_kind::success) {
+        counters.consecutive_failures.store(0);
+        counters.failure_share.store(0);
+        counters.samples.store(0);
+        counters.returned_at_ns.store(now_ns);
+        counters.health.store(health_state::healthy);
+        return;
+    }
+    // The probe said nothing about the target, for example because it was cancelled: the next
+    // probe may follow after the shortest backoff.
+    const auto again = now_ns + options_.outliers.first_backoff.count();
+    counters.probe_at_ns.store(again);
+    counters.health.store(health_state::ejected);
+    lower_to(entry.service->next_probe_ns, again);
+}
+
+}  // namespace tanagerpaddle
--- /dev/null
+++ b/libs/routing/src/rcu.cpp
@@ -0,0 +1,55 @@
+#include "rcu.hpp"
+
+#include <urcu/urcu-memb.h>
+
+#if defined(__SANITIZE_THREAD__)
+#include <sanitizer/tsan_interface.h>
+#endif
+
+namespace tanagerpaddle::rcu {
+
+namespace {
+
+struct registration {
+    registration() { urcu_memb_register_thread(); }
+    ~registration() { urcu_memb_unregister_thread(); }
+    registration(const registration&) = delete;
+    registration& operator=(const registration&) = delete;
+};
+
+#if defined(__SANITIZE_THREAD__)
+// liburcu 0.13 is not instrumented and orders readers before synchronize() by membarrier(2), which
+// ThreadSanitizer does not see. The annotations state exactly this order: the end of a section
+// happens before a later return of synchronize(). A section that is still open at that time has
+// released nothing, so an access to freed memory in it is still reported.
+char order_of_sections;
+#endif
+
+}  // namespace
+
+void register_thread() {
+    thread_local const registration registered;
+    (void)registered;
+}
+
+read_section::read_section() {
+    register_thread();
+    urcu_memb_read_lock();
+}
+
+read_section::~read_section() {
+#if defined(__SANITIZE_THREAD__)
+    __tsan_release(&order_of_sections);
+#endif
+    urcu_memb_read_unlock();
+}
+
+void synchronize() {
+    register_thread();
+    urcu_memb_synchronize_rcu();
+#if defined(__SANITIZE_THREAD__)
+    __tsan_acquire(&order_of_sections);
+#endif
+}
+
+}  // namespace tanagerpaddle::rcu
