Test the routing library and correct what the tests found

Cause: three tests failed against the first implementation. A target that fails fast got 526 of 1,000 requests, because its first failure set its latency to 1 ms; random selection gave it 273. Two of four targets were ejected when the whole fleet failed from the start, because the decaying share of failures lags. A target that was slow once was never tried again, because its estimate decayed to the mean of the service, which lies above that of the faster targets. Change: a failure faster than the known latency is no latency sample; targets with two failures in a row count as failing when the fleet is compared, and the first samples count equally; estimates decay to zero with age, a sample after a long silence replaces them, and differences below 10% do not decide between two targets.

--- a/libs/routing/include/tanagerpaddle/routing.hpp
+++ b/libs/routing/include/tanagerpaddle/routing.hpp
@@ -93,8 +93,8 @@
     nanoseconds leaving_hold = std::chrono::seconds(10);
     // Weight of a latency sample in the decaying mean.
     double latency_weight = 0.1;
-    // After this time without an answer, half of the difference between a target's latency and
-    // that of the service is forgotten, so that a target that was slow is tried again.
+    // After this time without a result, half of a target's latency and share of failures is
+    // forgotten, so that a target that was slow or failing is tried again.
     nanoseconds latency_half_life = std::chrono::seconds(5);
 };
 
--- a/libs/routing/src/acquire.cpp
+++ b/libs/routing/src/acquire.cpp
@@ -20,6 +20,7 @@
     [[nodiscard]] target_load load(std::size_t index) const override;
 
 private:
+    [[nodiscard]] double kept_share(const target_counters& counters) const;
     [[nodiscard]] nanoseconds decayed_latency(const target_counters& counters) const;
 
     const pool_state& pool_;
@@ -28,20 +29,17 @@
     std::int64_t now_ns_;
 };
 
+double group_view::kept_share(const target_counters& counters) const {
+    return counters.kept_share(now_ns_, pool_.options().latency_half_life);
+}
+
 nanoseconds group_view::decayed_latency(const target_counters& counters) const {
     const auto own = counters.latency_ns.load(std::memory_order_relaxed);
     const auto service = group_.counters->latency_ns.load(std::memory_order_relaxed);
     if (own == 0) {
         return nanoseconds(service);
     }
-    if (own <= service) {
-        return nanoseconds(own);
-    }
-    const double age = static_cast<double>(std::max<std::int64_t>(
-        0, now_ns_ - counters.answered_at_ns.load(std::memory_order_relaxed)));
-    const double kept =
-        std::exp2(-age / static_cast<double>(pool_.options().latency_half_life.count()));
-    return nanoseconds(service + std::llround(static_cast<double>(own - service) * kept));
+    return nanoseconds(std::llround(static_cast<double>(own) * kept_share(counters)));
 }
 
 target_load group_view::load(std::size_t index) const {
@@ -51,7 +49,6 @@
     result.outstanding = counters.outstanding.load(std::memory_order_relaxed);
     result.others_busy = counters.others_busy.load(std::memory_order_relaxed);
     result.slots = entry.target.slots;
-    result.failure_share = counters.failures();
     result.is_available =
         counters.health.load(std::memory_order_relaxed) == health_state::healthy &&
         !counters.is_leaving(now_ns_) &&
@@ -60,6 +57,7 @@
         !contains(excluded_, entry.target.id);
     if (result.is_available) {
         result.latency = decayed_latency(counters);
+        result.failure_share = counters.failures() * kept_share(counters);
         result.base_latency = nanoseconds(counters.base_latency_ns.load(std::memory_order_relaxed));
     }
     return result;
--- a/libs/routing/src/ejection.cpp
+++ b/libs/routing/src/ejection.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr std::uint32_t least_samples = 10;
+// Another target with this many failures in a row counts as failing.
+constexpr std::uint32_t failing_in_a_row = 2;
 
 }  // namespace
 
@@ -39,7 +41,10 @@
             ++ejected;
         } else if (counters.samples.load(std::memory_order_relaxed) > 0) {
             ++compared;
-            failures += counters.failures();
+            // The decaying share lags behind a sudden fault of the whole fleet, which must be
+            // seen before the first target has failed often enough to be ejected.
+            const auto in_a_row = counters.consecutive_failures.load(std::memory_order_relaxed);
+            failures += in_a_row >= failing_in_a_row ? 1 : counters.failures();
         }
     }
     const bool is_half_left = (ejected + 1) * 2 <= group.candidates.size();
--- a/libs/routing/src/release.cpp
+++ b/libs/routing/src/release.cpp
@@ -51,10 +51,13 @@
     target_counters& counters = *entry.counters;
     const outcome_kind kind = classify(outcome.code);
     const bool is_answer = kind == outcome_kind::success;
-    // An abandoned request shows at least that the target was slower than its mean.
-    const bool is_lower_bound =
-        (kind == outcome_kind::failure || kind == outcome_kind::neutral) &&
-        outcome.latency.count() > counters.latency_ns.load(std::memory_order_relaxed);
+    // An abandoned request shows at least that the target was slower than its mean. A failure that
+    // is faster says nothing about the latency.
+    const auto own_mean = counters.latency_ns.load(std::memory_order_relaxed);
+    const auto mean =
+        own_mean > 0 ? own_mean : entry.service->latency_ns.load(std::memory_order_relaxed);
+    const bool is_lower_bound = (kind == outcome_kind::failure || kind == outcome_kind::neutral) &&
+                                mean > 0 && outcome.latency.count() > mean;
     if (outcome.busy_slots) {
         // The answered request no longer occupies a slot when the report is used.
         const auto own = outstanding > 0 ? outstanding - 1 : 0;
@@ -65,20 +68,22 @@
         const bool found_free_slot =
             is_answer && outstanding <= entry.target.slots &&
             (!outcome.busy_slots || *outcome.busy_slots < entry.target.slots);
-        counters.record_latency(outcome.latency, options_.latency_weight, found_free_slot);
-        counters.answered_at_ns.store(now_ns, std::memory_order_relaxed);
+        const double kept = counters.kept_share(now_ns, options_.latency_half_life);
+        counters.record_latency(outcome.latency, 1 - kept * (1 - options_.latency_weight),
+                                found_free_slot);
     }
     if (is_answer && outcome.latency > nanoseconds(0)) {
         constexpr double service_weight = 0.01;
         counters.p99.record(outcome.latency);
-        auto& mean = entry.service->latency_ns;
-        const auto old = mean.load(std::memory_order_relaxed);
+        auto& service_mean = entry.service->latency_ns;
+        const auto old = service_mean.load(std::memory_order_relaxed);
         const auto change = static_cast<double>(outcome.latency.count() - old) * service_weight;
-        mean.store(old == 0 ? outcome.latency.count() : old + std::llround(change),
-                   std::memory_order_relaxed);
+        service_mean.store(old == 0 ? outcome.latency.count() : old + std::llround(change),
+                           std::memory_order_relaxed);
     }
     if (is_answer || kind == outcome_kind::failure) {
         counters.record_result(kind == outcome_kind::failure);
+        counters.heard_at_ns.store(now_ns, std::memory_order_relaxed);
     }
     if (is_answer || kind == outcome_kind::rejection) {
         adapt_limit(entry, outcome, kind == outcome_kind::rejection, outstanding, now_ns);
--- a/libs/routing/src/selection.cpp
+++ b/libs/routing/src/selection.cpp
@@ -64,7 +64,10 @@
     std::size_t other = first + random.below(last - first - 1);
     other += other >= *one ? 1 : 0;
     const target_load load = candidates.load(other);
-    if (load.is_available && cost(load) < cost(best.load)) {
+    // Differences within the noise of the estimates do not count: otherwise one target would get
+    // all requests of a lightly loaded service.
+    constexpr double clearly_cheaper = 0.9;
+    if (load.is_available && cost(load) < clearly_cheaper * cost(best.load)) {
         best = {other, load};
     }
     return best;
--- a/libs/routing/src/target_counters.cpp
+++ b/libs/routing/src/target_counters.cpp
@@ -37,6 +37,15 @@
     return std::max(1.0, full * part);
 }
 
+double target_counters::kept_share(std::int64_t now_ns, nanoseconds half_life) const noexcept {
+    const auto age = now_ns - heard_at_ns.load(std::memory_order_relaxed);
+    // exp2 costs more than the rest of a decision; busy targets skip it.
+    if (age * 100 <= half_life.count()) {
+        return 1;
+    }
+    return std::exp2(-static_cast<double>(age) / static_cast<double>(half_life.count()));
+}
+
 bool target_counters::try_start(double most) noexcept {
     auto count = outstanding.load(std::memory_order_relaxed);
     while (static_cast<double>(count) + 1 <= most) {
@@ -64,8 +73,10 @@
 }
 
 void target_counters::record_result(bool failed) noexcept {
-    constexpr double weight = 0.1;
-    samples.fetch_add(1, std::memory_order_relaxed);
+    // The first samples count equally, so that a target that only ever failed shows it at once.
+    constexpr double least_weight = 0.1;
+    const auto before = samples.fetch_add(1, std::memory_order_relaxed);
+    const double weight = std::max(least_weight, 1.0 / (static_cast<double>(before) + 1));
     move_towards(failure_share, failed ? share_unit : 0, weight);
     if (failed) {
         consecutive_failures.fetch_add(1, std::memory_order_relaxed);
--- a/libs/routing/src/target_counters.hpp
+++ b/libs/routing/src/target_counters.hpp
@@ -43,7 +43,7 @@
     std::atomic<std::int64_t> limit_lowered_at_ns{never_ns};
     std::atomic<std::int64_t> latency_ns{0};
     std::atomic<std::int64_t> base_latency_ns{0};
-    std::atomic<std::int64_t> answered_at_ns{never_ns};
+    std::atomic<std::int64_t> heard_at_ns{never_ns};
     // In 1 / share_unit.
     std::atomic<std::int64_t> failure_share{0};
     std::atomic<std::uint32_t> samples{0};
@@ -59,6 +59,9 @@
     std::atomic<std::int64_t> backoff_ns{0};
     std::atomic<std::int64_t> ejected_at_ns{never_ns};
 
+    // How much of the estimates still counts, 0 to 1: half after each half-life without a result.
+    // A target that is avoided gives no samples, so its estimates must fade for it to be tried.
+    [[nodiscard]] double kept_share(std::int64_t now_ns, nanoseconds half_life) const noexcept;
     [[nodiscard]] bool is_leaving(std::int64_t now_ns) const noexcept {
         return leaving_until_ns.load(std::memory_order_relaxed) > now_ns;
     }
@@ -69,6 +72,7 @@
     // Counts a request unless `most` are outstanding.
     [[nodiscard]] bool try_start(double most) noexcept;
     void finish();
+    // `weight` is that of the sample in the mean.
     void record_latency(nanoseconds sample, double weight, bool found_free_slot) noexcept;
     void record_result(bool failed) noexcept;
     [[nodiscard]] double failures() const noexcept {
--- /dev/null
+++ b/libs/routing/tests/concurrency_limit_test.cpp
@@ -0,0 +1,47 @@
+#include <doctest/doctest.h>
+
+#include "pool_fixture.hpp"
+
+using namespace tanagerpaddle;
+
+namespace {
+
+limit_sample sample_of(double limit, std::uint32_t busy) {
+    limit_sample sample;
+    sample.limit = limit;
+    sample.slots = 8;
+    sample.outstanding = static_cast<std::uint32_t>(limit);
+    sample.recent_latency = sample.base_latency = sample.latency = milliseconds(20);
+    sample.busy_slots = busy;
+    sample.since_decrease = std::chrono::seconds(1);
+    return sample;
+}
+
+}  // namespace
+
+// Guards against slots that stay empty because part of the requests is always on the wire.
+TEST_CASE("the limit grows above the slots while the target reports a free slot") {
+    const aimd_limit limit;
+    CHECK(limit.initial(8, 64) == 8);
+    CHECK(limit.next(sample_of(8, 6)) > 8);
+    CHECK(limit.next(sample_of(8, 8)) == 8);
+    auto unused = sample_of(8, 6);
+    unused.outstanding = 2;
+    CHECK(limit.next(unused) == 8);
+}
+
+// Guards against a burst of answers about one overload that lowers the limit to nothing, and, with
+// the fixed limit, against a target that stays overloaded.
+TEST_CASE("rejections and latency lower the limit once for each interval") {
+    const aimd_limit adaptive;
+    const fixed_limit constant(64);
+    auto rejected = sample_of(20, 8);
+    rejected.was_rejected = true;
+    CHECK(adaptive.next(rejected) == doctest::Approx(18));
+    CHECK(constant.next(rejected) == 64);
+    rejected.since_decrease = milliseconds(10);
+    CHECK(adaptive.next(rejected) == 20);
+    auto slow = sample_of(20, 8);
+    slow.recent_latency = milliseconds(50);
+    CHECK(adaptive.next(slow) == doctest::Approx(18));
+}
--- /dev/null
+++ b/libs/routing/tests/request_policies_test.cpp
@@ -0,0 +1,108 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <cmath>
+
+#include "tanagerpaddle/routing.hpp"
+
+using namespace tanagerpaddle;
+
+namespace {
+
+// Tries sent for `requests` requests that all fail, with up to 3 retries each.
+int tries_when_all_fail(retry_policy& policy, int requests) {
+    int tries = 0;
+    for (int request = 0; request < requests; ++request) {
+        policy.on_request();
+        ++tries;
+        for (int retry = 0; retry < 3 && policy.try_retry(); ++retry) {
+            ++tries;
+        }
+    }
+    return tries;
+}
+
+}  // namespace
+
+// Guards against retry storms: when everything fails, plain retries multiply the load.
+TEST_CASE("the budget bounds retries to a tenth where plain retries multiply the load") {
+    manual_clock time;
+    plain_retries plain;
+    retry_budget budget(time);
+    CHECK(tries_when_all_fail(plain, 10'000) == 40'000);
+    const int tries = tries_when_all_fail(budget, 10'000);
+    INFO("tries " << tries);
+    CHECK(tries <= 11'003);
+    CHECK(tries >= 10'990);
+}
+
+// Guards against a service with few requests that could never retry, and against saved credit that
+// allows a storm later.
+TEST_CASE("three retries a second are allowed without requests and few are saved") {
+    manual_clock time;
+    retry_budget budget(time);
+    const auto take_all = [&] {
+        int taken = 0;
+        while (budget.try_retry()) {
+            ++taken;
+        }
+        return taken;
+    };
+    CHECK(take_all() == 3);
+    int taken = 0;
+    for (int tick = 0; tick < 100; ++tick) {
+        time.advance(milliseconds(100));
+        taken += take_all();
+    }
+    CHECK(taken == 30);
+    time.advance(milliseconds(3'600'000));
+    CHECK(take_all() == 30);
+}
+
+// Guards against hedges and timeouts set by a wrong percentile.
+TEST_CASE("the quantile estimate is close to the quantile of an exponential distribution") {
+    random_source random(12);
+    quantile_estimate p95(0.95);
+    quantile_estimate p99(0.99);
+    for (int sample = 0; sample < 20'000; ++sample) {
+        const double ms = -20 * std::log(1 - random.unit());
+        p95.record(nanoseconds(std::llround(ms * 1e6)));
+        p99.record(nanoseconds(std::llround(ms * 1e6)));
+    }
+    CHECK(static_cast<double>(p95.value().count()) / 1e6 == doctest::Approx(59.9).epsilon(0.25));
+    CHECK(static_cast<double>(p99.value().count()) / 1e6 == doctest::Approx(92.1).epsilon(0.25));
+}
+
+// Guards against a non-idempotent request that runs twice, and hedges before latency is known.
+TEST_CASE("only idempotent requests are hedged, after the known p95 and before the deadline") {
+    manual_clock time;
+    retry_budget budget(time);
+    hedge_policy hedges(budget);
+    quantile_estimate p95(0.95);
+    const instant now = time.now();
+    const auto until = deadline::after(now, milliseconds(500));
+    p95.record(milliseconds(40));
+    CHECK_FALSE(hedges.hedge_at(now, until, true, p95));
+    for (int sample = 0; sample < 100; ++sample) {
+        p95.record(milliseconds(40));
+    }
+    CHECK_FALSE(hedges.hedge_at(now, until, false, p95));
+    CHECK(hedges.hedge_at(now, until, true, p95) == now + p95.value());
+    CHECK_FALSE(hedges.hedge_at(now, deadline::after(now, milliseconds(10)), true, p95));
+    while (budget.try_retry()) {
+    }
+    CHECK_FALSE(hedges.try_hedge());
+}
+
+// Guards against requests lost on a connection that is half-open, and against healthy slow answers
+// taken for one.
+TEST_CASE("an idle connection is reused for 10 s and a silent one abandoned after a third") {
+    const half_open_detector detector;
+    const instant start = manual_clock().now();
+    CHECK(detector.can_reuse(start, start + milliseconds(9'999)));
+    CHECK_FALSE(detector.can_reuse(start, start + milliseconds(10'000)));
+    const auto until = deadline::after(start, milliseconds(300));
+    CHECK(detector.abandon_at(start, until, nanoseconds(0)) == start + milliseconds(100));
+    CHECK(detector.abandon_at(start, until, milliseconds(150)) == start + milliseconds(150));
+    CHECK(detector.abandon_at(start, until, milliseconds(400)) == until.when());
+}
--- /dev/null
+++ b/libs/routing/tests/target_pool_threads_test.cpp
@@ -0,0 +1,121 @@
+#include <doctest/doctest.h>
+
+#include <thread>
+
+#include "pool_fixture.hpp"
+
+using namespace tanagerpaddle;
+
+namespace {
+
+constexpr int worker_threads = 4;
+constexpr int requests_of_thread = 20'000;
+
+// Requests with mixed results; every lease ends on its own thread.
+void run_requests(target_pool& pool, std::uint64_t seed, std::atomic<int>& refused) {
+    random_source random(seed);
+    std::vector<target_lease> held;
+    for (int request = 0; request < requests_of_thread; ++request) {
+        auto acquired = pool.acquire(quotes, {}, random);
+        if (acquired.lease) {
+            held.push_back(std::move(*acquired.lease));
+        } else {
+            refused.fetch_add(1);
+        }
+        if (held.size() < 8 && acquired.reason == result_code::ok) {
+            continue;
+        }
+        for (auto& lease : held) {
+            const bool fails = lease.target().id.value() == "t0" || random.chance(0.02);
+            auto outcome = outcome_of(fails ? result_code::target_failed : result_code::ok, 5);
+            outcome.busy_slots = static_cast<std::uint32_t>(random.below(9));
+            pool.release(lease, outcome);
+        }
+        held.clear();
+    }
+}
+
+// Targets come, go, drain and restart until the flag is set.
+void change_targets(target_pool& pool, const std::atomic<bool>& is_done) {
+    random_source random(99);
+    for (std::uint64_t round = 1; !is_done.load(); ++round) {
+        std::vector<route_target> targets;
+        for (int number = 0; number < 12; ++number) {
+            if (number < 4 || random.chance(0.7)) {
+                const std::uint64_t incarnation = number < 8 ? 1 : round;
+                targets.push_back(make_target(number, number % 2 == 0 ? "a" : "b", incarnation));
+                targets.back().accepts = number < 4 || random.chance(0.8);
+            }
+        }
+        pool.replace(std::move(targets));
+        std::this_thread::sleep_for(std::chrono::microseconds(200));
+    }
+}
+
+}  // namespace
+
+// Guards against use of a freed snapshot or target, lost counts and broken transitions of health
+// when requests and changes of the routing table run at the same time. Meant for sanitizer builds.
+TEST_CASE("requests and changes of the targets run on several threads at the same time") {
+    const system_clock time;
+    pool_options options;
+    options.outliers.first_backoff = milliseconds(2);
+    options.outliers.longest_backoff = milliseconds(20);
+    options.outliers.slow_start = milliseconds(5);
+    target_pool pool(options, time, failure_domain_id("a"));
+    pool.replace(make_targets(4));
+    std::atomic<int> refused{0};
+    std::atomic<bool> is_done{false};
+    std::thread changes(change_targets, std::ref(pool), std::cref(is_done));
+    std::vector<std::thread> threads;
+    for (std::uint64_t seed = 1; seed <= worker_threads; ++seed) {
+        threads.emplace_back(run_requests, std::ref(pool), seed, std::ref(refused));
+    }
+    for (auto& thread : threads) {
+        thread.join();
+    }
+    is_done.store(true);
+    changes.join();
+    CHECK(refused.load() < worker_threads * requests_of_thread);
+    for (const auto& status : pool.status()) {
+        INFO(status.id.value() << " limit " << status.limit);
+        CHECK(status.outstanding == 0);
+        CHECK(status.limit >= 1);
+        CHECK(status.limit <= 64);
+    }
+}
+
+// Guards against a lock-free count that lets more requests pass than the limit allows.
+TEST_CASE("concurrent acquires never exceed the limit of a target") {
+    const system_clock time;
+    pool_options options;
+    options.limit = std::make_shared<fixed_limit>(8);
+    target_pool pool(options, time, failure_domain_id("a"));
+    pool.replace(make_targets(1));
+    std::atomic<int> held{0};
+    std::atomic<int> most{0};
+    const auto work = [&](std::uint64_t seed) {
+        random_source random(seed);
+        for (int request = 0; request < 5'000; ++request) {
+            auto acquired = pool.acquire(quotes, {}, random);
+            if (!acquired.lease) {
+                continue;
+            }
+            const int now = held.fetch_add(1) + 1;
+            int seen = most.load();
+            while (now > seen && !most.compare_exchange_weak(seen, now)) {
+            }
+            std::this_thread::yield();
+            held.fetch_sub(1);
+        }
+    };
+    std::vector<std::thread> threads;
+    for (std::uint64_t seed = 1; seed <= 2 * worker_threads; ++seed) {
+        threads.emplace_back(work, seed);
+    }
+    for (auto& thread : threads) {
+        thread.join();
+    }
+    CHECK(most.load() <= 8);
+    CHECK(status_of(pool, "t0").outstanding == 0);
+}
