Add the membership library: targets, entries and partition owners

Cause: entries have to agree on live agents, targets and partition owners without a registry or a further service. Change: target_directory (own agents by syncs, others by digests, whole list only if it changed, conflicts by incarnation, epoch, newest report), entry_directory, pause_detector, owner_of. Own pauses are left out of all silences. Decided: several failed calls within half a digest interval count as one; note_registered takes the present instant, because an entry that is new in the table has three digest intervals to be heard; owner_of ranks by entry id, so a restart keeps the owner.

--- /dev/null
+++ b/libs/membership/src/entry_directory.cpp
@@ -0,0 +1,139 @@
+#include <algorithm>
+
+#include "tanagerpaddle/membership.hpp"
+
+namespace tanagerpaddle {
+
+namespace {
+
+// Replaced incarnations that are remembered for each entry. A message of an older one would have
+// to be delayed over as many restarts to be taken for a new life.
+constexpr std::size_t remembered_incarnations = 8;
+
+}  // namespace
+
+entry_directory::entry_directory(entry_info self, entry_directory_options options)
+    : self_(std::move(self)),
+      options_(options),
+      pauses_(options.longest_gap, options.digest_interval) {}
+
+// The record for this life of the entry, or nullptr if the life was replaced by a newer one.
+entry_directory::record* entry_directory::accept(const entry_info& entry, instant now) {
+    const auto [position, is_new] = entries_.try_emplace(entry.id);
+    record& value = position->second;
+    if (is_new) {
+        value.info = entry;
+        value.heard_at = pauses_.adjusted(now);
+        return &value;
+    }
+    if (std::find(value.replaced.begin(), value.replaced.end(), entry.incarnation) !=
+        value.replaced.end()) {
+        return nullptr;
+    }
+    if (value.info.incarnation != entry.incarnation) {
+        value.replaced.push_back(value.info.incarnation);
+        if (value.replaced.size() > remembered_incarnations) {
+            value.replaced.erase(value.replaced.begin());
+        }
+        value.heard_at = pauses_.adjusted(now);
+        value.failed_calls = 0;
+        value.is_leaving = false;
+    }
+    value.info = entry;
+    return &value;
+}
+
+void entry_directory::note_registered(const std::vector<entry_info>& entries, instant now) {
+    pauses_.observe(now);
+    for (auto& [id, value] : entries_) {
+        value.is_registered = false;
+    }
+    for (const auto& entry : entries) {
+        if (entry.id == self_.id) {
+            continue;
+        }
+        if (record* value = accept(entry, now)) {
+            value->is_registered = true;
+        } else {
+            // The row is of a replaced life; the next life has not written its own yet.
+            entries_.at(entry.id).is_registered = true;
+        }
+    }
+    std::erase_if(entries_, [&](const auto& item) {
+        return !item.second.is_registered && !is_live(item.second, now);
+    });
+}
+
+void entry_directory::note_digest_from(const entry_info& entry, instant now, bool is_leaving) {
+    pauses_.observe(now);
+    if (entry.id == self_.id) {
+        return;
+    }
+    if (record* value = accept(entry, now)) {
+        value->heard_at = std::max(value->heard_at, pauses_.adjusted(now));
+        value->failed_calls = 0;
+        value->is_leaving = is_leaving;
+    }
+}
+
+void entry_directory::note_unreachable(const entry_id& entry, instant now) {
+    pauses_.observe(now);
+    const auto position = entries_.find(entry);
+    if (position == entries_.end()) {
+        return;
+    }
+    record& value = position->second;
+    if (value.failed_calls == 0 || now - value.failed_at >= options_.digest_interval / 2) {
+        ++value.failed_calls;
+        value.failed_at = now;
+    }
+}
+
+bool entry_directory::is_live(const record& value, instant now) const {
+    return !value.is_leaving && value.failed_calls < options_.missed_digests &&
+           pauses_.adjusted(now) - value.heard_at <=
+               options_.digest_interval * options_.missed_digests;
+}
+
+std::vector<entry_info> entry_directory::live(instant now) {
+    pauses_.observe(now);
+    std::vector<entry_info> result;
+    if (!is_self_leaving_) {
+        result.push_back(self_);
+    }
+    for (const auto& [id, value] : entries_) {
+        if (is_live(value, now)) {
+            result.push_back(value.info);
+        }
+    }
+    std::sort(result.begin(), result.end(),
+              [](const entry_info& a, const entry_info& b) { return a.id < b.id; });
+    return result;
+}
+
+std::vector<entry_info> entry_directory::all() const {
+    std::vector<entry_info> result{self_};
+    for (const auto& [id, value] : entries_) {
+        result.push_back(value.info);
+    }
+    std::sort(result.begin(), result.end(),
+              [](const entry_info& a, const entry_info& b) { return a.id < b.id; });
+    return result;
+}
+
+const entry_info* owner_of(partition_number partition, std::span<const entry_info> live) {
+    const std::string key = partition_key(partition);
+    const entry_info* best = nullptr;
+    std::uint64_t best_weight = 0;
+    for (const auto& entry : live) {
+        const std::uint64_t weight = rendezvous_weight(entry.id.value(), key);
+        if (best == nullptr || weight > best_weight ||
+            (weight == best_weight && entry.id < best->id)) {
+            best = &entry;
+            best_weight = weight;
+        }
+    }
+    return best;
+}
+
+}  // namespace tanagerpaddle
--- /dev/null
+++ b/libs/membership/src/pause_detector.cpp
@@ -0,0 +1,18 @@
+#include "tanagerpaddle/membership.hpp"
+
+namespace tanagerpaddle {
+
+pause_detector::pause_detector(milliseconds longest_gap, milliseconds grace)
+    : longest_gap_(longest_gap), grace_(grace) {}
+
+void pause_detector::observe(instant now) {
+    if (last_ && now - *last_ > longest_gap_) {
+        ++pauses_;
+        left_out_ += now - *last_ + grace_;
+    }
+    if (!last_ || now > *last_) {
+        last_ = now;
+    }
+}
+
+}  // namespace tanagerpaddle
--- /dev/null
+++ b/libs/membership/tests/entry_directory_test.cpp
@@ -0,0 +1,132 @@
+#include <doctest/doctest.h>
+
+#include "support.hpp"
+
+using namespace tanagerpaddle;
+using namespace tanagerpaddle::testing;
+
+namespace {
+
+std::vector<std::string> ids(const std::vector<entry_info>& entries) {
+    std::vector<std::string> result;
+    for (const auto& value : entries) {
+        result.push_back(value.id.value());
+    }
+    return result;
+}
+
+using names = std::vector<std::string>;
+
+}  // namespace
+
+// Guards against partitions that stay with a dead entry.
+TEST_CASE("an entry is live until three digests are missed, and again with the next one") {
+    entry_directory directory(entry("a"));
+    directory.note_registered({entry("a"), entry("b")}, at(0));
+    for (int ms = 2'000; ms <= 6'000; ms += 2'000) {
+        CHECK(ids(directory.live(at(ms))) == names{"a", "b"});
+    }
+    CHECK(ids(directory.live(at(6'001))) == names{"a"});
+    CHECK(ids(directory.all()) == names{"a", "b"});
+    directory.note_digest_from(entry("b"), at(7'000));
+    CHECK(ids(directory.live(at(7'000))) == names{"a", "b"});
+}
+
+// Guards against a frozen entry that takes over every partition when it resumes.
+TEST_CASE("an entry that was frozen itself grants the others one more interval") {
+    entry_directory directory(entry("a"));
+    directory.note_registered({entry("b")}, at(0));
+    directory.note_digest_from(entry("b"), at(1'000));
+    CHECK(ids(directory.live(at(300'000))) == names{"a", "b"});
+    CHECK(directory.pauses() == 1);
+    CHECK(ids(directory.live(at(302'000))) == names{"a", "b"});
+    for (int ms = 304'000; ms <= 308'000; ms += 2'000) {
+        CHECK(ids(directory.live(at(ms))) == names{"a", "b"});
+    }
+    CHECK(ids(directory.live(at(308'001))) == names{"a"});
+}
+
+// Guards against a shrinking set of entries while the table cannot be read.
+TEST_CASE("the last list stands while the table is unavailable") {
+    entry_directory directory(entry("a"));
+    directory.note_registered({entry("b"), entry("c")}, at(0));
+    for (int ms = 1'000; ms <= 600'000; ms += 1'000) {
+        directory.note_digest_from(entry("b"), at(ms));
+        directory.note_digest_from(entry("c"), at(ms));
+    }
+    CHECK(ids(directory.live(at(600'000))) == names{"a", "b", "c"});
+}
+
+// Guards against partitions given to an entry that is about to exit.
+TEST_CASE("a leaving entry is not live") {
+    entry_directory directory(entry("a"));
+    directory.note_digest_from(entry("b"), at(0), true);
+    CHECK(ids(directory.live(at(1))) == names{"a"});
+    directory.note_digest_from(entry("b", 2), at(2));  // its successor under the same name
+    CHECK(ids(directory.live(at(3))) == names{"a", "b"});
+    directory.note_self_leaving();
+    CHECK(ids(directory.live(at(4))) == names{"b"});
+}
+
+// Guards against a delayed digest, or an old row, that revives the former life of an entry.
+TEST_CASE("a replaced incarnation of an entry is ignored") {
+    entry_directory directory(entry("a"));
+    directory.note_digest_from(entry("b", 9), at(0));
+    directory.note_digest_from(entry("b", 4), at(1'000));
+    directory.note_digest_from(entry("b", 9), at(2'000));
+    directory.note_registered({entry("b", 9)}, at(2'000));
+    CHECK(directory.all().at(1).incarnation == incarnation_number(4));
+    CHECK(ids(directory.live(at(5'000))) == names{"a", "b"});
+    CHECK(ids(directory.live(at(7'001))) == names{"a"});
+}
+
+// Guards against one burst of failed calls that moves partitions.
+TEST_CASE("several failed calls at once count as one, and a digest clears them") {
+    entry_directory directory(entry("a"));
+    directory.note_digest_from(entry("b"), at(0));
+    for (int i = 0; i < 10; ++i) {
+        directory.note_unreachable(entry_id("b"), at(100));
+    }
+    CHECK(ids(directory.live(at(100))) == names{"a", "b"});
+    directory.note_unreachable(entry_id("b"), at(1'200));
+    directory.note_unreachable(entry_id("b"), at(2'300));
+    CHECK(ids(directory.live(at(2'400))) == names{"a"});
+    directory.note_digest_from(entry("b"), at(2'500));
+    CHECK(ids(directory.live(at(2'500))) == names{"a", "b"});
+}
+
+// Guards against rows of entries that died long ago and never sent a digest.
+TEST_CASE("an entry without its row and without digests is forgotten") {
+    entry_directory directory(entry("a"));
+    directory.note_registered({entry("b"), entry("c")}, at(0));
+    for (int ms = 2'000; ms <= 8'000; ms += 2'000) {
+        directory.note_digest_from(entry("c"), at(ms));
+    }
+    directory.note_registered({}, at(8'000));
+    CHECK(ids(directory.all()) == names{"a", "c"});
+}
+
+// Guards against a change of one entry that moves the partitions of others.
+TEST_CASE("only the partitions of an entry that comes or goes change their owner") {
+    constexpr std::uint32_t partitions = 64;
+    std::vector<entry_info> entries;
+    for (int i = 0; i < 32; ++i) {
+        entries.push_back(entry("entry-" + std::to_string(i)));
+    }
+    auto fewer = entries;
+    fewer.erase(fewer.begin() + 11);
+    std::uint32_t moved = 0;
+    for (std::uint32_t p = 0; p < partitions; ++p) {
+        const auto& before = owner_of(partition_number(p), entries)->id;
+        const auto& after = owner_of(partition_number(p), fewer)->id;
+        if (before != entries[11].id) {
+            INFO("partition " << p);
+            CHECK(before == after);
+        } else {
+            ++moved;
+        }
+    }
+    INFO("moved " << moved);
+    CHECK(moved < partitions / 8);
+    CHECK(owner_of(partition_number(0), {}) == nullptr);
+}
