Add deadline placement

Cause: first fit places work in queue order, blocks accelerators and large workers with small tasks, puts a whole job into one rack and starves large tasks. Change: deadline_placement orders by latest start and scores fit, spread and interference; quotas with borrowing; reservations for large tasks; a tree over free amounts skips full workers. A first version reserved a worker only for a large task that fitted nowhere; the starvation test failed with it, since small tasks took the room in the very plan in which the large task fitted.

--- /dev/null
+++ b/libs/placement/src/deadline_placement.cpp
@@ -0,0 +1,363 @@
+#include <algorithm>
+#include <cmath>
+#include <unordered_map>
+
+#include "tanagerpaddle/placement.hpp"
+#include "worker_index.hpp"
+
+namespace tanagerpaddle {
+
+namespace {
+
+constexpr std::int64_t one_day_ms = 24LL * 3'600 * 1'000;
+// Larger than any rank by time, so that urgent tasks come first.
+constexpr std::int64_t urgent_rank = std::int64_t{1} << 60;
+// Demands that fitted nowhere and are remembered within one plan.
+constexpr std::size_t most_failed_demands = 32;
+
+double share(std::int64_t part, std::int64_t whole) {
+    return whole > 0 ? static_cast<double>(part) / static_cast<double>(whole) : 0.0;
+}
+
+// Demands that found no worker; free amounts only shrink while a plan is made, so whatever needs
+// at least as much finds none either.
+class failed_demands {
+public:
+    [[nodiscard]] bool covers(const resources& demand) const {
+        return std::any_of(demands_.begin(), demands_.end(),
+                           [&](const resources& failed) { return failed.fits_in(demand); });
+    }
+    void add(const resources& demand) {
+        std::erase_if(demands_, [&](const resources& old) { return demand.fits_in(old); });
+        if (demands_.size() < most_failed_demands) {
+            demands_.push_back(demand);
+        }
+    }
+
+private:
+    std::vector<resources> demands_;
+};
+
+// How many tasks of one job the plan has put where.
+struct job_spread {
+    std::uint32_t placed = 0;
+    std::unordered_map<failure_domain_id, std::uint32_t> domains;
+    std::unordered_map<rack_id, std::uint32_t> racks;
+    std::unordered_map<worker_id, std::uint32_t> workers;
+};
+
+struct team_state {
+    resources used;
+    resources quota;
+    bool can_borrow = true;
+};
+
+// The making of one plan.
+class planner {
+public:
+    planner(const placement_input& input, const deadline_placement_options& options)
+        : input_(input), options_(options), index_(input.workers, options.most_interference) {}
+
+    placement_plan make() {
+        prepare();
+        reserve_for_large_tasks();
+        std::vector<std::uint32_t> over_quota;
+        for (const auto& [rank, task] : order_) {
+            if (!is_within_quota(input_.tasks[task])) {
+                over_quota.push_back(task);
+                continue;
+            }
+            place(task);
+        }
+        // Only now have all teams within their quotas been served.
+        for (const auto task : over_quota) {
+            const auto& team = teams_.at(input_.tasks[task].team);
+            if (team.can_borrow) {
+                place(task);
+            } else {
+                leave(task, unplaced_reason::over_quota);
+            }
+        }
+        return std::move(plan_);
+    }
+
+private:
+    void prepare() {
+        for (const auto& team : input_.teams) {
+            teams_[team.team] = {team.used, team.quota, team.can_borrow};
+        }
+        for (const auto& worker : input_.workers) {
+            note_capacity(all_capacities_, worker.capacity);
+            if (worker.accepts_work) {
+                note_capacity(open_capacities_, worker.capacity);
+            }
+        }
+        order_.reserve(input_.tasks.size());
+        for (std::uint32_t i = 0; i < input_.tasks.size(); ++i) {
+            order_.emplace_back(rank_of(input_.tasks[i]), i);
+        }
+        std::sort(order_.begin(), order_.end());
+    }
+
+    // Keeps only capacities that no other one contains.
+    static void note_capacity(std::vector<resources>& capacities, const resources& capacity) {
+        const auto contains = [&](const resources& other) { return capacity.fits_in(other); };
+        if (std::none_of(capacities.begin(), capacities.end(), contains)) {
+            std::erase_if(capacities,
+                          [&](const resources& other) { return other.fits_in(capacity); });
+            capacities.push_back(capacity);
+        }
+    }
+
+    static bool fits_any(const std::vector<resources>& capacities, const resources& demand) {
+        return std::any_of(capacities.begin(), capacities.end(),
+                           [&](const resources& capacity) { return demand.fits_in(capacity); });
+    }
+
+    // Time until the latest start; negative if the task is expected to be late.
+    [[nodiscard]] std::int64_t slack_ms(const pending_task& task) const {
+        return deadline_placement::latest_start(task).value() - input_.now.value();
+    }
+
+    [[nodiscard]] std::int64_t rank_of(const pending_task& task) const {
+        const std::int64_t slack = slack_ms(task);
+        const auto margin = options_.margin.count() +
+                            static_cast<std::int64_t>(options_.margin_share *
+                                                      static_cast<double>(task.remaining.count()));
+        // A late task starts over with the rank of late work and gains with each ms of delay.
+        const std::int64_t rank = slack >= 0 ? slack - margin : options_.late_rank.count() + slack;
+        return task.priority == job_priority::urgent ? rank - urgent_rank : rank;
+    }
+
+    [[nodiscard]] bool is_within_quota(const pending_task& task) const {
+        const auto team = teams_.find(task.team);
+        return team == teams_.end() ||
+               (team->second.used + task.demand).fits_in(team->second.quota);
+    }
+
+    [[nodiscard]] bool is_large(const pending_task& task) const {
+        return std::any_of(all_capacities_.begin(), all_capacities_.end(), [&](const auto& most) {
+            return task.demand.fits_in(most) &&
+                   (share(task.demand.processors.value(), most.processors.value()) >=
+                        options_.large_share ||
+                    share(task.demand.memory.value(), most.memory.value()) >=
+                        options_.large_share ||
+                    share(task.demand.accelerators.value(), most.accelerators.value()) >=
+                        options_.large_share);
+        });
+    }
+
+    // Large tasks that have waited long get a worker that takes no other work until they fit; one
+    // that fits now gets it too, since smaller tasks before it would take the room. The choice
+    // depends only on the workers, so that successive plans choose the same worker.
+    void reserve_for_large_tasks() {
+        const auto open = static_cast<double>(
+            std::count_if(input_.workers.begin(), input_.workers.end(),
+                          [](const worker_view& worker) { return worker.accepts_work; }));
+        const auto most =
+            std::max<std::size_t>(1, static_cast<std::size_t>(open * options_.reserved_share));
+        for (const auto& [rank, index] : order_) {
+            if (reserved_.size() >= most) {
+                return;
+            }
+            const auto& task = input_.tasks[index];
+            if (input_.now.value() - task.submitted_at.value() <
+                    options_.reservation_after.count() ||
+                !is_large(task) || !is_within_quota(task)) {
+                continue;
+            }
+            reserve(index);
+        }
+    }
+
+    void reserve(std::uint32_t task_index) {
+        const auto& task = input_.tasks[task_index];
+        std::size_t best = input_.workers.size();
+        double best_share = -2;
+        for (std::size_t i = 0; i < input_.workers.size(); ++i) {
+            const auto& worker = input_.workers[i];
+            if (!worker.accepts_work || !task.demand.fits_in(worker.capacity) ||
+                reserved_.contains(i) || is_avoided(task, worker)) {
+                continue;
+            }
+            // Of the workers with room the one with the least left is chosen.
+            const double covered =
+                covered_share(worker.free, task.demand) -
+                share(worker.free.processors.value(), worker.capacity.processors.value()) / 1'000;
+            if (covered > best_share) {
+                best_share = covered;
+                best = i;
+            }
+        }
+        if (best < input_.workers.size()) {
+            reserved_[best] = task_index;
+            index_.hide(best);
+        }
+    }
+
+    static double covered_share(const resources& free, const resources& demand) {
+        double covered = 1;
+        if (demand.processors.value() > 0) {
+            covered = std::min(covered, share(free.processors.value(), demand.processors.value()));
+        }
+        if (demand.memory.value() > 0) {
+            covered = std::min(covered, share(free.memory.value(), demand.memory.value()));
+        }
+        if (demand.accelerators.value() > 0) {
+            covered =
+                std::min(covered, share(free.accelerators.value(), demand.accelerators.value()));
+        }
+        return covered;
+    }
+
+    static bool is_avoided(const pending_task& task, const worker_view& worker) {
+        return std::find(task.avoided.begin(), task.avoided.end(), worker.id) != task.avoided.end();
+    }
+
+    void place(std::uint32_t task_index) {
+        const auto& task = input_.tasks[task_index];
+        if (plan_.placed.size() >= input_.most_starts) {
+            leave(task_index, fits_any(all_capacities_, task.demand)
+                                  ? unplaced_reason::no_capacity
+                                  : unplaced_reason::larger_than_any_worker);
+            return;
+        }
+        find_candidates(task_index);
+        const auto best = best_candidate(task);
+        if (best == input_.workers.size()) {
+            leave(task_index, reason_for(task));
+            return;
+        }
+        index_.take(best, task.demand);
+        const auto team = teams_.find(task.team);
+        if (team != teams_.end()) {
+            team->second.used += task.demand;
+        }
+        note_spread(spread_[task.job], input_.workers[best]);
+        plan_.placed.push_back({task.job, task.index, input_.workers[best].id});
+    }
+
+    void find_candidates(std::uint32_t task_index) {
+        const auto& task = input_.tasks[task_index];
+        candidates_.clear();
+        if (!failed_.covers(task.demand)) {
+            index_.find(task.demand, options_.most_candidates + task.avoided.size(), candidates_);
+            if (candidates_.empty()) {
+                failed_.add(task.demand);
+            }
+        }
+        for (const auto& [worker, holder] : reserved_) {
+            if ((holder == task_index || task.priority == job_priority::urgent) &&
+                task.demand.fits_in(index_.free(worker))) {
+                candidates_.push_back(worker);
+            }
+        }
+    }
+
+    // The number of workers if there is none.
+    [[nodiscard]] std::size_t best_candidate(const pending_task& task) const {
+        const auto spread = spread_.find(task.job);
+        const bool can_wait = task.priority != job_priority::urgent &&
+                              slack_ms(task) > options_.interference_slack.count();
+        std::size_t best = input_.workers.size();
+        double best_cost = 0;
+        for (const auto candidate : candidates_) {
+            const auto& worker = input_.workers[candidate];
+            if (is_avoided(task, worker) ||
+                (can_wait && worker.interference > options_.most_interference)) {
+                continue;
+            }
+            double cost = fit_cost(task, candidate);
+            if (spread != spread_.end()) {
+                cost += options_.spread_weight * spread_cost(spread->second, worker);
+            }
+            if (best == input_.workers.size() || cost < best_cost) {
+                best = candidate;
+                best_cost = cost;
+            }
+        }
+        return best;
+    }
+
+    [[nodiscard]] double fit_cost(const pending_task& task, std::size_t candidate) const {
+        const auto& worker = input_.workers[candidate];
+        const resources left = index_.free(candidate) - task.demand;
+        const double processors =
+            share(left.processors.value(), worker.capacity.processors.value());
+        const double memory = share(left.memory.value(), worker.capacity.memory.value());
+        double cost = options_.balance_weight * std::abs(processors - memory) +
+                      options_.tightness_weight * (processors + memory) / 2 +
+                      options_.interference_weight * worker.interference;
+        if (task.demand.accelerators.value() == 0 && left.accelerators.value() > 0) {
+            cost += options_.accelerator_weight;
+        }
+        return cost;
+    }
+
+    static double spread_cost(const job_spread& spread, const worker_view& worker) {
+        const auto count = [](const auto& counts, const auto& key) {
+            const auto position = counts.find(key);
+            return position == counts.end() ? 0.0 : static_cast<double>(position->second);
+        };
+        return (count(spread.domains, worker.domain) + count(spread.racks, worker.rack) +
+                count(spread.workers, worker.id)) /
+               static_cast<double>(spread.placed);
+    }
+
+    static void note_spread(job_spread& spread, const worker_view& worker) {
+        ++spread.placed;
+        ++spread.domains[worker.domain];
+        ++spread.racks[worker.rack];
+        ++spread.workers[worker.id];
+    }
+
+    [[nodiscard]] unplaced_reason reason_for(const pending_task& task) const {
+        if (!fits_any(all_capacities_, task.demand)) {
+            return unplaced_reason::larger_than_any_worker;
+        }
+        if (!fits_any(open_capacities_, task.demand)) {
+            return unplaced_reason::all_workers_excluded;
+        }
+        if (task.avoided.empty()) {
+            return unplaced_reason::no_capacity;
+        }
+        const bool has_other = std::any_of(
+            input_.workers.begin(), input_.workers.end(), [&](const worker_view& worker) {
+                return worker.accepts_work && task.demand.fits_in(worker.capacity) &&
+                       !is_avoided(task, worker);
+            });
+        return has_other ? unplaced_reason::no_capacity : unplaced_reason::all_workers_excluded;
+    }
+
+    void leave(std::uint32_t task_index, unplaced_reason reason) {
+        const auto& task = input_.tasks[task_index];
+        plan_.unplaced.push_back({task.job, task.index, reason});
+    }
+
+    const placement_input& input_;
+    const deadline_placement_options& options_;
+    worker_index index_;
+    std::unordered_map<team_id, team_state> teams_;
+    std::vector<resources> all_capacities_;
+    std::vector<resources> open_capacities_;
+    std::vector<std::pair<std::int64_t, std::uint32_t>> order_;
+    std::map<std::size_t, std::uint32_t> reserved_;  // worker -> task
+    std::unordered_map<job_id, job_spread> spread_;
+    failed_demands failed_;
+    std::vector<std::size_t> candidates_;
+    placement_plan plan_;
+};
+
+}  // namespace
+
+utc_millis deadline_placement::latest_start(const pending_task& task) {
+    const std::int64_t due = task.complete_by.value() > 0 ? task.complete_by.value()
+                                                          : task.submitted_at.value() + one_day_ms;
+    return utc_millis(due - task.remaining.count());
+}
+
+placement_plan deadline_placement::plan(const placement_input& input) const {
+    return planner(input, options_).make();
+}
+
+}  // namespace tanagerpaddle
--- /dev/null
+++ b/libs/placement/src/worker_index.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <vector>
+
+#include "tanagerpaddle/placement.hpp"
+
+namespace tanagerpaddle {
+
+// Finds workers with room. A tree over the workers holds the largest free amount of each resource
+// below each node, so that full parts of the fleet are skipped.
+class worker_index {
+public:
+    // Positions are given to workers without accelerators first, then to those with at most that
+    // interference, otherwise in a fixed scattered order, so that neighbours in the index are
+    // seldom in one rack.
+    worker_index(const std::vector<worker_view>& workers, double most_interference);
+
+    [[nodiscard]] const resources& free(std::size_t worker) const { return free_[worker]; }
+    void take(std::size_t worker, const resources& demand);
+    // Hides the worker from find; `take` still works.
+    void hide(std::size_t worker);
+
+    // Appends up to `most` workers with room for `demand`, in the order of positions.
+    void find(const resources& demand, std::size_t most, std::vector<std::size_t>& found) const;
+
+private:
+    void update(std::size_t worker);
+    void find_below(std::size_t node, const resources& demand, std::size_t most,
+                    std::vector<std::size_t>& found) const;
+
+    std::size_t leaves_ = 1;
+    std::vector<resources> free_;           // by worker
+    std::vector<bool> is_visible_;          // by worker
+    std::vector<std::size_t> position_of_;  // by worker
+    std::vector<std::size_t> worker_at_;    // by position
+    std::vector<resources> largest_;        // by node, 1 is the root
+};
+
+}  // namespace tanagerpaddle
