--- /dev/null
+++ b/libs/placement/src/domain_evacuation.cpp
@@ -0,0 +1,103 @@
+#include <algorithm>
+#include <limits>
+#include <tuple>
+
+#include "tanagerpaddle/placement.hpp"
+
+namespace tanagerpaddle {
+
+namespace {
+
+double seconds(boot_clock::duration value) {
+    return std::chrono::duration<double>(value).count();
+}
+
+// Takes the demand from the first worker with room; false if there is none.
+bool take_room(std::vector<worker_view>& workers, const resources& demand) {
+    const auto room = std::find_if(workers.begin(), workers.end(), [&](const worker_view& worker) {
+        return worker.accepts_work && demand.fits_in(worker.free);
+    });
+    if (room == workers.end()) {
+        return false;
+    }
+    room->free -= demand;
+    return true;
+}
+
+std::int64_t latest_start(const running_task& task) {
+    return task.complete_by.value() - task.remaining.count();
+}
+
+}  // namespace
+
+std::vector<eviction> domain_evacuation::next_moves(const std::vector<running_task>& running,
+                                                    const std::vector<worker_view>& elsewhere,
+                                                    const std::vector<resources>& moving,
+                                                    utc_millis now_utc, instant now) {
+    if (refilled_at_) {
+        tokens_ = std::min(options_.burst,
+                           tokens_ + options_.moves_per_second * seconds(now - *refilled_at_));
+    } else {
+        tokens_ = options_.burst;
+    }
+    refilled_at_ = now;
+
+    std::vector<worker_view> room = elsewhere;
+    for (const auto& demand : moving) {
+        take_room(room, demand);
+    }
+    std::vector<const running_task*> order;
+    for (const auto& task : running) {
+        if (task.kind == job_kind::batch && task.can_resume &&
+            task.remaining > options_.left_to_end) {
+            order.push_back(&task);
+        }
+    }
+    // Work that can still be on time goes first; what is late already follows in the same order.
+    std::sort(order.begin(), order.end(), [&](const running_task* a, const running_task* b) {
+        const auto key = [&](const running_task& task) {
+            return std::tuple(task.priority != job_priority::urgent,
+                              latest_start(task) < now_utc.value(), latest_start(task));
+        };
+        return key(*a) < key(*b);
+    });
+    std::vector<eviction> result;
+    for (const auto* task : order) {
+        if (tokens_ < 1) {
+            break;
+        }
+        if (take_room(room, task->demand)) {
+            tokens_ -= 1;
+            result.push_back({task->job, task->index, task->worker, eviction_cause::domain_drained,
+                              task->unsaved});
+        }
+    }
+    return result;
+}
+
+void domain_evacuation::note_returned(const failure_domain_id& domain, instant now) {
+    returned_[domain] = {now, 0};
+}
+
+void domain_evacuation::note_drained(const failure_domain_id& domain) {
+    returned_.erase(domain);
+}
+
+std::size_t domain_evacuation::refill_room(const failure_domain_id& domain, instant now) const {
+    const auto position = returned_.find(domain);
+    if (position == returned_.end() || now - position->second.since >= options_.refill_time) {
+        return std::numeric_limits<std::size_t>::max();
+    }
+    const double allowed = options_.refill_per_second * seconds(now - position->second.since) -
+                           position->second.started;
+    return allowed < 1 ? 0 : static_cast<std::size_t>(allowed);
+}
+
+void domain_evacuation::note_starts(const failure_domain_id& domain, std::size_t starts) {
+    const auto position = returned_.find(domain);
+    if (position != returned_.end()) {
+        position->second.started += static_cast<double>(starts);
+    }
+}
+
+}  // namespace tanagerpaddle
--- /dev/null
+++ b/libs/placement/tests/domain_evacuation_test.cpp
@@ -0,0 +1,79 @@
+#include <doctest/doctest.h>
+
+#include "support.hpp"
+
+using namespace tanagerpaddle;
+using namespace tanagerpaddle::testing;
+
+namespace {
+
+instant at(std::int64_t seconds) {
+    return instant(std::chrono::seconds(3'600 + seconds));
+}
+
+running_task leaving(const std::string& job, std::int64_t due_minutes) {
+    running_task result;
+    result.job = job_id(job);
+    result.worker = worker_id("old");
+    result.demand = amount(4, 4);
+    result.complete_by = utc_millis(start_ms + due_minutes * minute_ms);
+    result.remaining = milliseconds(10 * minute_ms);
+    return result;
+}
+
+const utc_millis now{start_ms};
+
+}  // namespace
+
+// Guards against tight work that is moved last.
+TEST_CASE("work moves in the order of its latest start and work that cannot be on time last") {
+    domain_evacuation evacuation;
+    const auto moves =
+        evacuation.next_moves({leaving("relaxed", 500), leaving("late", 5), leaving("tight", 20)},
+                              {worker("w", amount(64, 64))}, {}, now, at(0));
+    REQUIRE(moves.size() == 3);
+    CHECK(moves[0].job == job_id("tight"));
+    CHECK(moves[1].job == job_id("relaxed"));
+    CHECK(moves[2].job == job_id("late"));
+}
+
+// Guards against checkpoints that find no worker, and against writes beyond the budget.
+TEST_CASE("moves are bounded by the room elsewhere and by the write budget") {
+    domain_evacuation evacuation({.moves_per_second = 2, .burst = 3});
+    std::vector<running_task> tasks;
+    for (int i = 0; i < 20; ++i) {
+        tasks.push_back(leaving("j" + std::to_string(i), 100 + i));
+    }
+    const std::vector<worker_view> room{worker("w", amount(64, 64))};
+    CHECK(evacuation.next_moves(tasks, room, {}, now, at(0)).size() == 3);
+    CHECK(evacuation.next_moves(tasks, room, {}, now, at(1)).size() == 2);
+    const std::vector<resources> moving(15, amount(4, 4));
+    CHECK(evacuation.next_moves(tasks, room, moving, now, at(10)).size() == 1);
+}
+
+// Guards against the loss of work that cannot resume and against moves of nearly finished work.
+TEST_CASE("holds, work that cannot resume and work that is about to end stay") {
+    auto hold = leaving("hold", 100);
+    hold.kind = job_kind::hold;
+    auto watch = leaving("watch", 100);
+    watch.can_resume = false;
+    auto ending = leaving("ending", 100);
+    ending.remaining = milliseconds(5'000);
+    domain_evacuation evacuation;
+    CHECK(
+        evacuation.next_moves({hold, watch, ending}, {worker("w", amount(64, 64))}, {}, now, at(0))
+            .empty());
+}
+
+// Guards against a returned failure domain that takes all starts at once.
+TEST_CASE("a returned failure domain is refilled at a bounded rate") {
+    domain_evacuation evacuation;
+    const failure_domain_id domain("gardone");
+    CHECK(evacuation.refill_room(domain, at(0)) > 1'000'000);
+    evacuation.note_returned(domain, at(0));
+    CHECK(evacuation.refill_room(domain, at(0)) == 0);
+    CHECK(evacuation.refill_room(domain, at(2)) == 20);
+    evacuation.note_starts(domain, 15);
+    CHECK(evacuation.refill_room(domain, at(2)) == 5);
+    CHECK(evacuation.refill_room(domain, at(120)) > 1'000'000);
+}
