protocol: record where a job's groups are and how its tasks ended

Cause: The state of a job with groups in several partitions could only be found by scanning all shards, and the results of ended groups would be lost with their rows. An owner could not tell a removed declaration from one that is newer than its own configuration. Change: job_row has group_partitions, ended_groups and ended_tasks; group_row has declared_in. Result: The existing protocol tests pass.

--- a/libs/protocol/include/tanagerpaddle/protocol.hpp
+++ b/libs/protocol/include/tanagerpaddle/protocol.hpp
@@ -277,10 +277,27 @@
 
 enum class job_state : std::uint8_t { active, finished, cancelled, failed };
 
+// How many tasks of a job have ended in each way.
+struct task_counts {
+    std::uint32_t finished = 0;
+    std::uint32_t cancelled = 0;
+    std::uint32_t failed = 0;
+    std::uint32_t lost = 0;
+
+    friend bool operator==(const task_counts&, const task_counts&) = default;
+};
+
 // job/<id>
 struct job_row {
     job_declaration declaration;
     std::uint32_t group_count = 0;
+    // The partition of each group, by group number; changed in the transaction that moves a group.
+    std::vector<partition_number> group_partitions;
+    // Groups whose tasks have all ended. Their rows are deleted in the transaction that counts
+    // them.
+    std::uint32_t ended_groups = 0;
+    // The ended tasks of these groups.
+    task_counts ended_tasks;
     job_state state = job_state::active;
     // Declared in the configuration rather than submitted on its own.
     bool is_declared = false;
@@ -307,6 +324,9 @@
     std::uint32_t group = 0;
     bool is_cancel_requested = false;
     utc_millis submitted_at;
+    // The configuration version that declared the job; 0 if it was submitted on its own. An owner
+    // with an older configuration does not take the job for one that was removed.
+    config_version declared_in;
     std::vector<task_record> tasks;
 };
 
--- a/libs/protocol/src/json.cpp
+++ b/libs/protocol/src/json.cpp
@@ -91,13 +91,15 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(entry_notice, configuration, changed_shards)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(partition_row, owner, incarnation, epoch,
                                                 horizon_ms, is_released)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(job_row, declaration, group_count, state,
-                                                is_declared, submitted_at, ended_at)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(task_counts, finished, cancelled, failed, lost)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(job_row, declaration, group_count, group_partitions,
+                                                ended_groups, ended_tasks, state, is_declared,
+                                                submitted_at, ended_at)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(task_record, index, state, attempt, worker, domain,
                                                 checkpoint, progress, failure_count, eviction_count,
                                                 code)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(group_row, declaration, group, is_cancel_requested,
-                                                submitted_at, tasks)
+                                                submitted_at, declared_in, tasks)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(configuration_row, version, document, operations,
                                                 changed_by)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(domain_row, is_drained, version)
