--- /dev/null
+++ b/libs/scheduling/src/agent_starts.cpp
@@ -0,0 +1,195 @@
+// Starts, stops and evictions on the worker's runtime.
+
+#include <algorithm>
+
+#include "agent_state.hpp"
+
+namespace tanagerpaddle {
+
+namespace {
+
+// Beyond this the attempts of tasks that are no longer here are dropped. They only guard against
+// permits, which end within seconds.
+constexpr std::size_t most_remembered_attempts = 50'000;
+
+}  // namespace
+
+result_code agent_state::check_permit(const start_permit& permit, instant requested_at) const {
+    if (is_leaving) {
+        return result_code::leaving;
+    }
+    const auto known = latest.find(permit.attempt.task);
+    if (options.mechanisms.check_attempt && known != latest.end() &&
+        permit.attempt.attempt <= known->second) {
+        return result_code::stale_epoch;
+    }
+    if (options.mechanisms.check_permit_window &&
+        time.now() >= requested_at + milliseconds(permit.valid_ms)) {
+        return result_code::deadline_exceeded_not_run;
+    }
+    return result_code::ok;
+}
+
+void agent_state::take_permit(const start_permit& permit, instant requested_at, instant lease_end) {
+    const auto known = latest.find(permit.attempt.task);
+    if (known != latest.end() && permit.attempt.attempt == known->second) {
+        return;  // A repeated permit; its attempt is held here or its report is on the way.
+    }
+    result_code refusal = check_permit(permit, requested_at);
+    if (refusal == result_code::ok && !stop_earlier_attempts(permit.attempt)) {
+        refusal = result_code::connection_refused;
+    }
+    if (refusal != result_code::ok) {
+        add_report(permit.attempt, report_kind::refused, refusal);
+        return;
+    }
+    if (latest.size() > most_remembered_attempts) {
+        std::erase_if(latest, [&](const auto& item) {
+            return !tasks.contains({item.first, item.second});
+        });
+    }
+    latest[permit.attempt.task] = permit.attempt.attempt;
+    start(permit, requested_at, lease_end);
+}
+
+bool agent_state::stop_earlier_attempts(const task_attempt& attempt) {
+    const auto is_earlier = [&](const task_attempt& other) {
+        return other.task == attempt.task && other.attempt < attempt.attempt;
+    };
+    std::vector<task_attempt> stale;
+    for (const auto& [other, task] : tasks) {
+        if (is_earlier(other) && !task.is_ended) {
+            stale.push_back(other);
+        }
+    }
+    for (const auto& other : stale) {
+        stop_and_drop(other);
+    }
+    return std::none_of(stale.begin(), stale.end(),
+                        [&](const task_attempt& other) { return tasks.contains(other); });
+}
+
+void agent_state::start(const start_permit& permit, instant requested_at, instant lease_end) {
+    const std::string key = to_string(permit.attempt);
+    const bool has_room = ledger.commit(key, permit.demand);
+    if (!has_room && options.mechanisms.check_ledger) {
+        add_report(permit.attempt, report_kind::refused, result_code::overloaded);
+        return;
+    }
+    agent_task task;
+    task.demand = permit.demand;
+    task.can_checkpoint = permit.can_checkpoint;
+    task.checkpoint = permit.checkpoint;
+    task.is_unconfirmed = false;
+    task.is_current = true;
+    task.started_at = time.now();
+    // The clock is read again: stopping earlier attempts may have taken time.
+    task.lease_until = lease_end;
+    const std::int64_t lease = lease_left(task);
+    const bool has_expired = options.mechanisms.check_permit_window &&
+                             time.now() >= requested_at + milliseconds(permit.valid_ms);
+    if (has_expired || lease <= 0) {
+        ledger.release(key);
+        add_report(permit.attempt, report_kind::refused, result_code::deadline_exceeded_not_run);
+        return;
+    }
+    try {
+        runtime.start(permit, lease);
+    } catch (const error& failure) {
+        if (means_not_run(failure.code())) {
+            ledger.release(key);
+            add_report(permit.attempt, report_kind::refused, failure.code());
+            return;
+        }
+        task.is_start_unknown = true;
+    }
+    tasks[permit.attempt] = task;
+    if (!task.is_start_unknown) {
+        add_report(permit.attempt, report_kind::started, result_code::ok);
+    }
+}
+
+void agent_state::carry_out(const task_order& order) {
+    const auto found = tasks.find(order.attempt);
+    if (found == tasks.end() || found->second.is_ended) {
+        return;
+    }
+    switch (order.kind) {
+        case order_kind::stop:
+            stop_and_drop(order.attempt);
+            break;
+        case order_kind::evict:
+            found->second.is_evicting = true;
+            evict(order.attempt);
+            break;
+        case order_kind::throttle:
+            try {
+                runtime.throttle(order.attempt, order.speed_percent);
+                found->second.speed_percent = order.speed_percent;
+            } catch (const error&) {
+                // The owner sees the speed in the next sync and repeats the order.
+            }
+            break;
+    }
+}
+
+void agent_state::evict(const task_attempt& attempt) {
+    agent_task& task = tasks.at(attempt);
+    try {
+        if (task.can_checkpoint) {
+            const std::string key = runtime.checkpoint(attempt);
+            if (!key.empty()) {
+                task.checkpoint = key;
+            }
+        }
+        runtime.stop(attempt);
+    } catch (const error&) {
+        return;  // The next tick tries again.
+    }
+    end_task(attempt, report_kind::evicted, result_code::ok);
+}
+
+void agent_state::stop_and_drop(const task_attempt& attempt) {
+    const auto found = tasks.find(attempt);
+    try {
+        runtime.stop(attempt);
+        runtime.forget(attempt);
+    } catch (const error&) {
+        // It stays in the ledger while it may run. Without a lease the runtime pauses it, and the
+        // owner repeats the order.
+        if (found != tasks.end()) {
+            found->second.is_current = false;
+            found->second.lease_until = instant::min();
+        }
+        return;
+    }
+    drop(attempt);
+}
+
+// The owner notices that the attempt is gone and decides whether it may run again.
+void agent_state::drop(const task_attempt& attempt) {
+    ledger.release(to_string(attempt));
+    tasks.erase(attempt);
+}
+
+void agent_state::resolve_unknown_start(const task_attempt& attempt,
+                                        const std::set<task_attempt>& listed) {
+    agent_task& task = tasks.at(attempt);
+    if (listed.contains(attempt)) {
+        task.is_start_unknown = false;
+        add_report(attempt, report_kind::started, result_code::ok);
+        return;
+    }
+    // A start that is still under way would have arrived within two task leases.
+    if (time.now() < task.started_at + 2 * options.task_lease) {
+        return;
+    }
+    try {
+        runtime.stop(attempt);
+    } catch (const error&) {
+        return;
+    }
+    drop(attempt);
+}
+
+}  // namespace tanagerpaddle
--- /dev/null
+++ b/libs/scheduling/src/agent_state.hpp
@@ -0,0 +1,109 @@
+#pragma once
+
+// State of agent_tasks. Its member functions are grouped by job in the source files.
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "tanagerpaddle/scheduling.hpp"
+
+namespace tanagerpaddle {
+
+// One attempt on this instance.
+struct agent_task {
+    resources demand;
+    runtime_task_state state = runtime_task_state::running;
+    // The end of the worker lease of the last reply that named the attempt as current.
+    instant lease_until = instant::min();
+    // No reply has named the attempt since the agent started. The runtime's own lease runs on.
+    bool is_unconfirmed = true;
+    // The last reply named it as current.
+    bool is_current = false;
+    bool is_evicting = false;
+    // Finished, failed or evicted; kept until its report is acknowledged.
+    bool is_ended = false;
+    // The runtime did not answer the start; until then the task may or may not run.
+    bool is_start_unknown = false;
+    instant started_at;
+    bool can_checkpoint = true;
+    double progress = 0;
+    std::string checkpoint;
+    millicores used_processors;
+    std::int64_t run_ms = 0;
+    std::uint32_t speed_percent = 100;
+};
+
+class agent_state {
+public:
+    agent_state(const agent_options& chosen, worker_identity own, instance_ledger& commitments,
+                worker_runtime& tasks_runtime, const clock& source, incarnation_number life)
+        : options(chosen),
+          identity(std::move(own)),
+          ledger(commitments),
+          runtime(tasks_runtime),
+          time(source),
+          incarnation(life) {}
+
+    // --- agent_sync.cpp
+    [[nodiscard]] bool recover();
+    void adopt(const runtime_task& found);
+    [[nodiscard]] sync_request next_sync();
+    void on_reply(const sync_reply& reply, std::uint64_t answered);
+    void acknowledge(std::uint64_t up_to);
+    void add_report(const task_attempt& attempt, report_kind kind, result_code code);
+    void apply_reservations();
+
+    // --- agent_starts.cpp
+    void take_permit(const start_permit& permit, instant requested_at, instant lease_end);
+    // The reason to refuse the permit; ok if it may be used.
+    [[nodiscard]] result_code check_permit(const start_permit& permit, instant requested_at) const;
+    // False if an earlier attempt of the task may still run here.
+    [[nodiscard]] bool stop_earlier_attempts(const task_attempt& attempt);
+    void start(const start_permit& permit, instant requested_at, instant lease_end);
+    void carry_out(const task_order& order);
+    void evict(const task_attempt& attempt);
+    void stop_and_drop(const task_attempt& attempt);
+    void drop(const task_attempt& attempt);
+    void resolve_unknown_start(const task_attempt& attempt, const std::set<task_attempt>& listed);
+
+    // --- agent_leases.cpp
+    void tick();
+    void take_over_listing(const runtime_task& found);
+    void end_task(const task_attempt& attempt, report_kind kind, result_code code);
+    void update_leases();
+    void update_lease(const task_attempt& attempt, agent_task& task,
+                      std::map<std::int64_t, std::vector<task_attempt>>& renewals);
+    [[nodiscard]] std::int64_t lease_left(const agent_task& task) const;
+
+    agent_options options;
+    worker_identity identity;
+    instance_ledger& ledger;
+    worker_runtime& runtime;
+    const clock& time;
+    incarnation_number incarnation;
+
+    bool is_recovered = false;
+    bool is_leaving = false;
+    std::map<task_attempt, agent_task> tasks;
+    // The highest attempt seen of each task; lower ones are stale.
+    std::map<task_key, attempt_number> latest;
+    std::vector<task_report> reports;
+    std::uint64_t report_sequence = 0;
+    bool has_new_reports = false;
+    std::uint64_t sequence = 0;
+    // The request with `sequence` has no reply yet.
+    bool is_awaiting = false;
+    instant sent_at;
+    deadline next_sync_at;
+    epoch_number epoch;
+    std::vector<target_report> targets;
+    std::set<service_id> reserved;
+    agent_configuration configured;
+    std::vector<entry_info> entries;
+    std::optional<entry_info> redirect;
+};
+
+}  // namespace tanagerpaddle
--- /dev/null
+++ b/libs/scheduling/src/claims.cpp
@@ -0,0 +1,203 @@
+// Plans for an owner's workers and the claims that carry them out.
+
+#include <algorithm>
+
+#include "scheduler_state.hpp"
+
+namespace tanagerpaddle {
+
+bool scheduler_state::is_drained(const failure_domain_id& domain) {
+    if (declared && declared->is_drained(domain)) {
+        return true;
+    }
+    const auto found = domains.find(domain);
+    return found != domains.end() && found->second.is_drained;
+}
+
+std::vector<worker_view> scheduler_state::worker_views(const partition_state& p) {
+    const instant present = now();
+    std::map<worker_id, resources> unseen;
+    if (options.mechanisms.reserve_claimed_amounts) {
+        for (const auto& [key, group] : p.groups) {
+            for (const auto& record : group.row.tasks) {
+                const auto worker = p.workers.find(record.worker);
+                if (is_active(record.state) && worker != p.workers.end() &&
+                    !worker->second.held.contains(
+                        {{group.row.declaration.id, record.index}, record.attempt})) {
+                    unseen[record.worker] += group.row.declaration.demand;
+                }
+            }
+        }
+    }
+    std::vector<worker_view> views;
+    for (const auto& [id, worker] : p.workers) {
+        worker_view view;
+        view.id = id;
+        view.domain = worker.domain;
+        view.rack = worker.rack;
+        view.capacity = worker.capacity;
+        view.free = worker.free - unseen[id];
+        view.accepts_work = !worker.is_leaving && !is_drained(worker.domain) &&
+                            domains.contains(worker.domain) && present >= worker.avoided_until &&
+                            present < worker.heard_at + options.silent_after;
+        views.push_back(std::move(view));
+    }
+    return views;
+}
+
+std::vector<pending_task> scheduler_state::pending_tasks(partition_state& p) const {
+    const instant present = now();
+    std::vector<pending_task> tasks;
+    for (const auto& [key, group] : p.groups) {
+        const job_declaration& job = group.row.declaration;
+        if (group.is_uncertain) {
+            continue;
+        }
+        for (const auto& record : group.row.tasks) {
+            if (record.state != task_state::pending) {
+                continue;
+            }
+            pending_task task;
+            const auto known = p.memory.find({job.id, record.index});
+            if (known != p.memory.end()) {
+                if (present < known->second.retry_at) {
+                    continue;
+                }
+                task.avoided.assign(known->second.avoided.begin(), known->second.avoided.end());
+            }
+            task.job = job.id;
+            task.index = record.index;
+            task.team = job.team;
+            task.demand = job.demand;
+            task.priority = job.priority;
+            task.complete_by = job.complete_by;
+            task.submitted_at = group.row.submitted_at;
+            const auto whole = static_cast<double>(estimator->estimate(job).count());
+            task.remaining = milliseconds(static_cast<std::int64_t>(whole * (1 - record.progress)));
+            tasks.push_back(std::move(task));
+        }
+    }
+    return tasks;
+}
+
+std::vector<team_share> scheduler_state::team_shares() const {
+    std::map<team_id, resources> used;
+    for (const auto& team : usage()) {
+        used[team.team] += team.used;
+    }
+    for (const auto& team : remote_usage) {
+        used[team.team] += team.used;
+    }
+    std::vector<team_share> shares;
+    if (declared) {
+        for (const auto& team : declared->teams) {
+            shares.push_back({team.id, used[team.id], team.quota, team.can_borrow});
+        }
+    }
+    return shares;
+}
+
+void scheduler_state::plan_claims(partition_state& p) {
+    // No permit may outlive the horizon.
+    if (p.needs_rescan || now() + with_margin(options.permit_window) >= p.horizon_end) {
+        return;
+    }
+    placement_input input;
+    input.tasks = pending_tasks(p);
+    if (input.tasks.empty()) {
+        return;
+    }
+    input.workers = worker_views(p);
+    input.teams = team_shares();
+    input.now = time.utc_now();
+    input.most_starts = options.most_starts_per_tick;
+    const placement_plan plan = strategy.plan(input);
+    note_unplaced(p, plan);
+    std::vector<placed_task> urgent;
+    std::vector<placed_task> normal;
+    for (const auto& placed : plan.placed) {
+        const group_state* group = find_group(p, {placed.job, placed.index});
+        check_invariant(group, "the plan places a task that is not pending: " + placed.job.value());
+        const bool is_urgent = group->row.declaration.priority == job_priority::urgent;
+        (is_urgent ? urgent : normal).push_back(placed);
+    }
+    commit_claims(p, urgent, write_class::urgent);
+    commit_claims(p, normal, write_class::rest);
+}
+
+void scheduler_state::note_unplaced(partition_state& p, const placement_plan& plan) {
+    std::set<std::string> placed;
+    for (const auto& task : plan.placed) {
+        placed.insert(group_key(p.number, task.job, task.index / tasks_per_group));
+        p.memory[{task.job, task.index}].reason.reset();
+    }
+    for (const auto& task : plan.unplaced) {
+        p.memory[{task.job, task.index}].reason = task.reason;
+        const auto group =
+            p.groups.find(group_key(p.number, task.job, task.index / tasks_per_group));
+        // A team over its quota would be so in any partition.
+        if (group != p.groups.end() && task.reason != unplaced_reason::over_quota) {
+            group->second.unplaced_since = std::min(group->second.unplaced_since, now());
+        }
+    }
+    for (const auto& key : placed) {
+        p.groups.at(key).unplaced_since = instant::max();
+    }
+}
+
+void scheduler_state::commit_claims(partition_state& p, const std::vector<placed_task>& placed,
+                                    write_class priority) {
+    if (placed.empty() || p.needs_rescan) {
+        return;
+    }
+    table_transaction transaction;
+    add_owner_condition(p, transaction);
+    group_edits edits;
+    std::set<failure_domain_id> concerned;
+    std::vector<std::pair<task_attempt, worker_id>> claimed;
+    for (const auto& task : placed) {
+        task_record& record = *edit_task(p, {task.job, task.index}, edits);
+        record.attempt = record.attempt.next();
+        record.state = task_state::claimed;
+        record.worker = task.worker;
+        record.domain = p.workers.at(task.worker).domain;
+        concerned.insert(record.domain);
+        claimed.push_back({{{task.job, task.index}, record.attempt}, task.worker});
+    }
+    if (options.mechanisms.condition_on_domain) {
+        for (const auto& domain : concerned) {
+            transaction.conditions.push_back({domain_key(domain), domains.at(domain).version});
+        }
+    }
+    for (const auto& [key, row] : edits) {
+        transaction.conditions.push_back({key, p.groups.at(key).version});
+        transaction.puts.push_back({key, encode(row)});
+    }
+    const instant sent_at = now();
+    const commit_attempt result = try_commit(transaction, priority, counts.claim_rows);
+    const bool may_be_committed =
+        result.outcome == commit_outcome::committed || result.outcome == commit_outcome::unknown;
+    for (const auto& [attempt, worker] : claimed) {
+        if (!may_be_committed) {
+            continue;
+        }
+        claim_record claim;
+        claim.worker = worker;
+        claim.sent_at = sent_at;
+        p.claims[attempt] = claim;
+        ++counts.claims;
+        wake(p, worker);
+        note_decision(decision_kind::claim, p.number, attempt, worker,
+                      result.outcome == commit_outcome::committed ? "placed" : "no answer yet");
+    }
+    for (const auto& key : result.conflicts) {
+        for (const auto& domain : concerned) {
+            if (domain_key(domain) == key) {
+                domains.erase(domain);  // The next tick reads it again.
+            }
+        }
+    }
+    settle(p, result, edits);
+}
+
+}  // namespace tanagerpaddle
--- /dev/null
+++ b/libs/scheduling/src/commits.cpp
@@ -0,0 +1,261 @@
+// Transactions of an owner and the resolution of their outcomes.
+
+#include <algorithm>
+
+#include "scheduler_state.hpp"
+
+namespace tanagerpaddle {
+
+namespace {
+
+// Smaller transactions lose less to one conflict; larger ones cost fewer calls.
+constexpr std::size_t most_groups_per_transaction = 50;
+
+task_counts& operator+=(task_counts& sum, const group_row& group) {
+    for (const auto& task : group.tasks) {
+        sum.finished += task.state == task_state::finished ? 1 : 0;
+        sum.cancelled += task.state == task_state::cancelled ? 1 : 0;
+        sum.failed += task.state == task_state::failed ? 1 : 0;
+        sum.lost += task.state == task_state::lost ? 1 : 0;
+    }
+    return sum;
+}
+
+job_state final_state(const task_counts& ended) {
+    if (ended.failed + ended.lost > 0) {
+        return job_state::failed;
+    }
+    return ended.cancelled > 0 ? job_state::cancelled : job_state::finished;
+}
+
+bool has_ended(const group_row& group) {
+    return std::all_of(group.tasks.begin(), group.tasks.end(),
+                       [](const task_record& task) { return is_terminal(task.state); });
+}
+
+// Writes what is known from memory along with a change that is written anyway.
+void add_known_progress(const partition_state& p, group_row& group) {
+    for (auto& task : group.tasks) {
+        const auto known = p.memory.find({group.declaration.id, task.index});
+        if (!is_active(task.state) || known == p.memory.end() ||
+            known->second.attempt != task.attempt) {
+            continue;
+        }
+        task.state = task_state::running;
+        task.progress = known->second.progress;
+        if (!known->second.checkpoint.empty()) {
+            task.checkpoint = known->second.checkpoint;
+        }
+    }
+}
+
+}  // namespace
+
+commit_attempt scheduler_state::try_commit(const table_transaction& transaction,
+                                           write_class priority, std::uint64_t& row_counter) {
+    const std::size_t written = transaction.write_count();
+    if ((priority == write_class::rest && !rest_budget.try_take(written, false)) ||
+        !budget.try_take(written, priority == write_class::urgent)) {
+        ++counts.budget_refusals;
+        return {commit_outcome::over_budget, {}, {}};
+    }
+    try {
+        commit_result result = rows.commit(transaction);
+        is_store_failing = false;
+        if (result.committed) {
+            row_counter += written;
+            return {commit_outcome::committed, result.version, {}};
+        }
+        ++counts.conflicts;
+        return {commit_outcome::conflict, {}, std::move(result.conflicts)};
+    } catch (const error& failure) {
+        // Only store_unavailable promises that nothing was written.
+        if (failure.code() == result_code::store_unavailable) {
+            note_store_failure();
+            return {commit_outcome::failed, {}, {}};
+        }
+        ++counts.unknown_commits;
+        return {options.mechanisms.resolve_unknown_commits ? commit_outcome::unknown
+                                                           : commit_outcome::failed,
+                {},
+                {}};
+    }
+}
+
+void scheduler_state::add_owner_condition(const partition_state& p,
+                                          table_transaction& transaction) const {
+    if (options.mechanisms.condition_on_epoch) {
+        transaction.conditions.push_back({partition_key(p.number), p.version});
+    }
+}
+
+void scheduler_state::settle(partition_state& p, const commit_attempt& result,
+                             const group_edits& written) {
+    switch (result.outcome) {
+        case commit_outcome::committed:
+            for (const auto& [key, row] : written) {
+                if (has_ended(row)) {
+                    p.groups.erase(key);
+                } else {
+                    p.groups[key].row = row;
+                    p.groups[key].version = result.version;
+                }
+            }
+            return;
+        case commit_outcome::unknown:
+            for (const auto& [key, row] : written) {
+                p.groups[key].is_uncertain = true;
+            }
+            p.needs_rescan = true;
+            return;
+        case commit_outcome::conflict:
+            p.needs_rescan = true;
+            return;
+        case commit_outcome::failed:
+        case commit_outcome::over_budget:
+            return;
+    }
+}
+
+bool scheduler_state::add_ended_groups(table_transaction& transaction,
+                                       const std::vector<const group_row*>& ended) {
+    struct changed_job {
+        job_row row;
+        row_version version;
+    };
+    std::map<std::string, changed_job> jobs;
+    for (const group_row* group : ended) {
+        const std::string key = job_key(group->declaration.id);
+        auto found = jobs.find(key);
+        if (found == jobs.end()) {
+            std::optional<table_row> stored;
+            try {
+                stored = read_row(key);
+            } catch (const error&) {
+                return false;
+            }
+            if (!stored) {
+                continue;
+            }
+            found = jobs.emplace(key, changed_job{decode<job_row>(stored->value), stored->version})
+                        .first;
+        }
+        job_row& job = found->second.row;
+        ++job.ended_groups;
+        job.ended_tasks += *group;
+        if (job.ended_groups >= job.group_count && job.state == job_state::active) {
+            job.state = final_state(job.ended_tasks);
+            job.ended_at = time.utc_now();
+        }
+    }
+    for (const auto& [key, job] : jobs) {
+        transaction.conditions.push_back({key, job.version});
+        transaction.puts.push_back({key, encode(job.row)});
+    }
+    return true;
+}
+
+void scheduler_state::commit_edits(partition_state& p, const group_edits& edits) {
+    auto next = edits.begin();
+    while (next != edits.end() && !p.needs_rescan) {
+        table_transaction transaction;
+        add_owner_condition(p, transaction);
+        group_edits written;
+        std::vector<const group_row*> ended;
+        for (; next != edits.end() && written.size() < most_groups_per_transaction; ++next) {
+            group_row row = next->second;
+            add_known_progress(p, row);
+            transaction.conditions.push_back({next->first, p.groups.at(next->first).version});
+            if (has_ended(row)) {
+                transaction.deletes.push_back(next->first);
+                ended.push_back(&next->second);
+            } else {
+                transaction.puts.push_back({next->first, encode(row)});
+            }
+            written.emplace(next->first, std::move(row));
+        }
+        if (!add_ended_groups(transaction, ended)) {
+            return;
+        }
+        const commit_attempt result =
+            try_commit(transaction, write_class::finish, counts.record_rows);
+        settle(p, result, written);
+        if (result.outcome != commit_outcome::committed) {
+            return;
+        }
+    }
+}
+
+void scheduler_state::note_store_failure() {
+    constexpr milliseconds retry_interval{1'000};
+    ++counts.store_failures;
+    is_store_failing = true;
+    store_retry_at = now() + retry_interval;
+}
+
+std::optional<table_row> scheduler_state::read_row(const std::string& key) {
+    try {
+        auto row = rows.read(key);
+        is_store_failing = false;
+        return row;
+    } catch (const error&) {
+        note_store_failure();
+        throw;
+    }
+}
+
+bool scheduler_state::rescan(partition_state& p) {
+    std::vector<table_row> found;
+    try {
+        const auto row = rows.read(partition_key(p.number));
+        const partition_row owner = row ? decode<partition_row>(row->value) : partition_row{};
+        if (owner.owner != self.id || owner.incarnation != self.incarnation ||
+            owner.epoch != p.epoch) {
+            if (options.mechanisms.condition_on_epoch) {
+                lose(p.number, "the partition row names another owner");
+                return false;
+            }
+        } else {
+            p.version = row->version;
+        }
+        found = scan_all(rows, shard_prefix(p.number));
+        is_store_failing = false;
+    } catch (const error&) {
+        note_store_failure();
+        return false;
+    }
+    std::map<std::string, group_state> groups;
+    for (const auto& row : found) {
+        group_state group;
+        group.row = decode<group_row>(row.value);
+        group.version = row.version;
+        const auto before = p.groups.find(row.key);
+        if (before != p.groups.end()) {
+            group.unplaced_since = before->second.unplaced_since;
+        }
+        groups.emplace(row.key, std::move(group));
+    }
+    p.groups = std::move(groups);
+    p.is_loaded = true;
+    p.needs_rescan = false;
+    p.is_notified = false;
+    p.scanned_at = now();
+    check_removed_jobs = true;
+    std::erase_if(p.memory, [&](const auto& item) { return !find_task(p, item.first); });
+    std::erase_if(p.claims, [&](const auto& item) {
+        const task_record* record = find_task(p, item.first.task);
+        return !record || record->attempt > item.first.attempt;
+    });
+    return true;
+}
+
+void scheduler_state::note_decision(decision_kind kind, partition_number partition,
+                                    const task_attempt& task, const worker_id& worker,
+                                    std::string cause) {
+    decisions.push_back({now(), kind, partition, task, worker, std::move(cause)});
+    if (decisions.size() > options.most_decisions) {
+        decisions.pop_front();
+    }
+}
+
+}  // namespace tanagerpaddle
--- /dev/null
+++ b/libs/scheduling/src/entry_scheduler.cpp
@@ -0,0 +1,244 @@
+#include <algorithm>
+
+#include "scheduler_state.hpp"
+
+namespace tanagerpaddle {
+
+// --- shared by the parts of scheduler_state
+
+const group_state* scheduler_state::find_group(const partition_state& p, const task_key& task) {
+    const auto found = p.groups.find(group_key(p.number, task.job, task.index / tasks_per_group));
+    return found == p.groups.end() ? nullptr : &found->second;
+}
+
+const task_record* scheduler_state::find_task(const partition_state& p, const task_key& task) {
+    const group_state* group = find_group(p, task);
+    const std::uint32_t position = task.index % tasks_per_group;
+    return group && position < group->row.tasks.size() ? &group->row.tasks[position] : nullptr;
+}
+
+task_record* scheduler_state::edit_task(const partition_state& p, const task_key& task,
+                                        group_edits& edits) {
+    const std::string key = group_key(p.number, task.job, task.index / tasks_per_group);
+    const auto group = p.groups.find(key);
+    if (group == p.groups.end()) {
+        return nullptr;
+    }
+    group_row& row = edits.try_emplace(key, group->second.row).first->second;
+    const std::uint32_t position = task.index % tasks_per_group;
+    return position < row.tasks.size() ? &row.tasks[position] : nullptr;
+}
+
+// --- entry_scheduler
+
+entry_scheduler::entry_scheduler(const scheduler_options& options, entry_info self, table& rows,
+                                 const placement_strategy& strategy, const clock& time,
+                                 std::uint64_t seed)
+    : state_(std::make_unique<scheduler_state>(options, std::move(self), rows, strategy, time,
+                                               seed)) {}
+
+entry_scheduler::~entry_scheduler() = default;
+
+void entry_scheduler::set_configuration(std::shared_ptr<const configuration> declared,
+                                        config_version version) {
+    if (!declared || version <= state_->version) {
+        return;
+    }
+    // The workers of newly drained domains fetch the news at once.
+    for (const auto& [number, p] : state_->partitions) {
+        for (const auto& [id, worker] : p.workers) {
+            if (declared->is_drained(worker.domain) != state_->is_drained(worker.domain)) {
+                state_->wakes[id] = worker.control;
+            }
+        }
+    }
+    state_->declared = std::move(declared);
+    state_->version = version;
+    state_->domains.clear();
+    state_->declared_done.clear();
+    state_->check_removed_jobs = true;
+}
+
+config_version entry_scheduler::configured() const noexcept {
+    return state_->version;
+}
+
+void entry_scheduler::set_live_entries(std::vector<entry_info> entries) {
+    const bool has_self = std::any_of(entries.begin(), entries.end(), [&](const entry_info& entry) {
+        return entry.id == state_->self.id;
+    });
+    if (!has_self) {
+        entries.push_back(state_->self);
+    }
+    state_->live_entries = std::move(entries);
+}
+
+void entry_scheduler::set_remote_partitions(std::vector<partition_summary> partitions,
+                                            std::vector<team_usage> usage) {
+    state_->remote_partitions = std::move(partitions);
+    state_->remote_usage = std::move(usage);
+}
+
+void entry_scheduler::set_known_workers(std::vector<worker_contact> workers) {
+    state_->known_workers.clear();
+    for (auto& worker : workers) {
+        state_->known_workers[worker.worker] = worker.control;
+    }
+}
+
+void entry_scheduler::set_estimator(run_time_estimator& estimator) {
+    state_->estimator = &estimator;
+}
+
+tick_result entry_scheduler::tick() {
+    scheduler_state& state = *state_;
+    state.run_tick();
+    tick_result result;
+    for (auto& [worker, control] : std::exchange(state.wakes, {})) {
+        result.wakes.push_back({worker, control});
+    }
+    result.inventories = std::exchange(state.inventories, {});
+    const auto changed = std::exchange(state.changed_shards, {});
+    result.changed_shards.assign(changed.begin(), changed.end());
+    return result;
+}
+
+void scheduler_state::run_tick() {
+    if (is_store_failing && now() < store_retry_at) {
+        return;
+    }
+    update_ownership();
+    read_domains();
+    for (std::uint32_t i = 0; i < options.partition_count; ++i) {
+        if (is_store_failing && now() < store_retry_at) {
+            return;
+        }
+        run_partition(partition_number(i));
+    }
+    order_drain_evictions();
+    if (!is_releasing) {
+        cancel_removed_jobs();
+        submit_declared_jobs();
+    }
+}
+
+void scheduler_state::run_partition(partition_number number) {
+    partition_state* p = owned(number);
+    if (!p) {
+        return;
+    }
+    // Notices of a burst of submissions share one scan; urgent starts have 3 s.
+    constexpr milliseconds notice_delay{500};
+    if (now() >= p->scanned_at + options.shard_rescan_interval ||
+        (p->is_notified && now() >= p->scanned_at + notice_delay)) {
+        p->needs_rescan = true;
+    }
+    if (p->needs_rescan && !rescan(*p)) {
+        return;
+    }
+    // Past the horizon another entry may decide for these tasks; the epoch condition rejects the
+    // writes then, and until the horizon is renewed nothing is decided.
+    if (options.mechanisms.condition_on_epoch && now() >= p->horizon_end) {
+        return;
+    }
+    record_changes(*p);
+    plan_claims(*p);
+    move_groups(*p);
+    // A commit without an answer is read back at once, while its permits are still useful.
+    if (p->needs_rescan) {
+        static_cast<void>(rescan(*p));
+    }
+}
+
+void scheduler_state::read_domains() {
+    for (const auto& [number, p] : partitions) {
+        for (const auto& [id, worker] : p.workers) {
+            if (domains.contains(worker.domain)) {
+                continue;
+            }
+            try {
+                const auto row = read_row(domain_key(worker.domain));
+                domains[worker.domain] =
+                    row ? cached_domain{decode<domain_row>(row->value).is_drained, row->version}
+                        : cached_domain{};
+            } catch (const error&) {
+                return;
+            }
+        }
+    }
+}
+
+sync_reply entry_scheduler::sync(const sync_request& request) {
+    return state_->sync(request);
+}
+
+submit_result entry_scheduler::submit(const job_declaration& job, bool is_declared) {
+    return state_->submit(job, is_declared);
+}
+
+cancel_result entry_scheduler::cancel(const job_id& id) {
+    return state_->cancel_one(id);
+}
+
+std::vector<cancel_result> entry_scheduler::cancel_many(const std::vector<job_id>& ids) {
+    return state_->cancel_many(ids);
+}
+
+job_status entry_scheduler::status(const job_id& id) {
+    return state_->status(id);
+}
+
+std::vector<job_row> entry_scheduler::list_jobs(const job_id& after, std::size_t limit) {
+    std::vector<job_row> jobs;
+    const std::string start = after.empty() ? std::string() : job_key(after);
+    for (const auto& row : state_->rows.scan("job/", start, limit)) {
+        jobs.push_back(decode<job_row>(row.value));
+    }
+    return jobs;
+}
+
+std::vector<task_explanation> entry_scheduler::explain(const job_id& id) {
+    return state_->explain(id);
+}
+
+void entry_scheduler::note_shard_changed(partition_number partition) {
+    if (partition_state* p = state_->owned(partition)) {
+        p->is_notified = true;
+    }
+}
+
+bool entry_scheduler::release_all() {
+    state_->is_releasing = true;
+    std::vector<partition_number> released;
+    for (auto& [number, p] : state_->partitions) {
+        if (state_->release(p)) {
+            released.push_back(number);
+        }
+    }
+    for (const auto number : released) {
+        state_->partitions.erase(number);
+    }
+    return state_->partitions.empty();
+}
+
+std::vector<partition_summary> entry_scheduler::partitions() const {
+    return state_->summaries();
+}
+
+std::vector<team_usage> entry_scheduler::usage() const {
+    return state_->usage();
+}
+
+bool entry_scheduler::owns(partition_number partition) const {
+    return state_->owned(partition) != nullptr;
+}
+
+const scheduler_counters& entry_scheduler::counters() const noexcept {
+    return state_->counts;
+}
+
+std::vector<decision> entry_scheduler::recent_decisions() const {
+    return {state_->decisions.begin(), state_->decisions.end()};
+}
+
+}  // namespace tanagerpaddle
--- /dev/null
+++ b/libs/scheduling/src/records.cpp
@@ -0,0 +1,280 @@
+// Changes of tasks that are recorded in their group rows: reports, void claims, vanished workers
+// and expired holds.
+
+#include <algorithm>
+
+#include "scheduler_state.hpp"
+
+namespace tanagerpaddle {
+
+namespace {
+
+// A worker that refused a start gets no claim until its next sync has shown what it holds.
+constexpr milliseconds refusal_pause{1'000};
+// Doubling stops here, so that the backoff stays far below the deadlines of batch jobs.
+constexpr std::uint32_t most_backoff_doublings = 6;
+
+void make_pending(task_record& record) {
+    record.state = task_state::pending;
+    record.worker = worker_id();
+    record.domain = failure_domain_id();
+}
+
+}  // namespace
+
+void scheduler_state::wake(const partition_state& p, const worker_id& worker) {
+    const auto found = p.workers.find(worker);
+    if (found != p.workers.end()) {
+        wakes[worker] = found->second.control;
+    }
+}
+
+void scheduler_state::record_changes(partition_state& p) {
+    std::erase_if(p.reports, [&](const auto& item) { return is_recorded(p, item.second.report); });
+    group_edits edits;
+    for (const auto& [key, received] : p.reports) {
+        const group_state* group = find_group(p, received.report.attempt.task);
+        if (group && !group->is_uncertain) {
+            apply_report(p, received, edits);
+        }
+    }
+    reclaim_tasks(p, edits);
+    finish_expired_holds(p, edits);
+    commit_edits(p, edits);
+    std::erase_if(p.claims, [&](const auto& item) {
+        const task_record* record = find_task(p, item.first.task);
+        return !p.needs_rescan &&
+               (!record || (record->attempt == item.first.attempt && !is_active(record->state)));
+    });
+}
+
+void scheduler_state::apply_report(partition_state& p, const received_report& received,
+                                   group_edits& edits) {
+    const task_report& report = received.report;
+    const task_record* before = find_task(p, report.attempt.task);
+    if (!before || is_terminal(before->state)) {
+        return;
+    }
+    const bool is_current =
+        before->attempt == report.attempt.attempt &&
+        (before->worker == received.worker || before->state == task_state::pending);
+    if (options.mechanisms.check_report_attempt && !is_current) {
+        return;
+    }
+    // A task that finished before its reclaimed attempt was claimed again need not run again.
+    const bool is_late_finish =
+        before->state == task_state::pending && report.kind == report_kind::finished;
+    if (!is_active(before->state) && !is_late_finish && options.mechanisms.check_report_attempt) {
+        return;
+    }
+    const group_row& group = find_group(p, report.attempt.task)->row;
+    if (report.kind == report_kind::started) {
+        return;
+    }
+    task_record& record = *edit_task(p, report.attempt.task, edits);
+    worker_record* worker = nullptr;
+    if (const auto found = p.workers.find(received.worker); found != p.workers.end()) {
+        worker = &found->second;
+    }
+    switch (report.kind) {
+        case report_kind::started:
+            break;
+        case report_kind::refused:
+            make_pending(record);
+            ++counts.void_claims;
+            if (worker) {
+                worker->avoided_until = std::max(worker->avoided_until, now() + refusal_pause);
+            }
+            note_decision(decision_kind::void_claim, p.number, report.attempt, received.worker,
+                          "refused: " + std::string(name(report.code)));
+            break;
+        case report_kind::finished:
+            record.state = task_state::finished;
+            record.progress = 1;
+            ++counts.finished_tasks;
+            estimator->observe(group.declaration, milliseconds(report.run_ms));
+            if (worker) {
+                worker->failures_in_a_row = 0;
+            }
+            break;
+        case report_kind::failed:
+            apply_failure(p, received.worker, report, record, group);
+            break;
+        case report_kind::evicted:
+            make_pending(record);
+            ++record.eviction_count;
+            ++counts.evictions;
+            record.progress = report.progress;
+            if (!report.checkpoint.empty()) {
+                record.checkpoint = report.checkpoint;
+            }
+            p.evictions.erase(report.attempt);
+            note_decision(decision_kind::eviction, p.number, report.attempt, received.worker,
+                          "evicted with checkpoint '" + record.checkpoint + "'");
+            break;
+    }
+}
+
+void scheduler_state::apply_failure(partition_state& p, const worker_id& worker,
+                                    const task_report& report, task_record& record,
+                                    const group_row& group) {
+    ++counts.failed_attempts;
+    ++record.failure_count;
+    record.code = report.code;
+    task_memory& memory = p.memory[report.attempt.task];
+    memory.avoided.insert(worker);
+    const auto doublings = std::min(record.failure_count - 1, most_backoff_doublings);
+    memory.retry_at = now() + options.retry_backoff * (1LL << doublings);
+    // A second run of a non-idempotent task would repeat what the first did before it failed.
+    const bool can_retry = group.declaration.is_idempotent || !record.checkpoint.empty();
+    if (record.failure_count >= options.most_failures || !can_retry) {
+        record.state = task_state::failed;
+        note_decision(decision_kind::task_failed, p.number, report.attempt, worker,
+                      "failed " + std::to_string(record.failure_count) + " times");
+    } else {
+        make_pending(record);
+    }
+    const auto found = p.workers.find(worker);
+    if (found != p.workers.end() &&
+        ++found->second.failures_in_a_row >= options.quarantine_after_failures) {
+        found->second.avoided_until = now() + options.quarantine_period;
+        // One more failure after the quarantine starts the next one.
+        found->second.failures_in_a_row = options.quarantine_after_failures - 1;
+        note_decision(decision_kind::quarantine, p.number, report.attempt, worker,
+                      std::to_string(options.quarantine_after_failures) + " failures in a row");
+    }
+}
+
+bool scheduler_state::lease_ran_out(const partition_state& p, const worker_id& worker) const {
+    const instant present = now();
+    if (present < p.reclaim_from) {
+        return false;
+    }
+    const auto found = p.workers.find(worker);
+    return found == p.workers.end() ||
+           (present >= found->second.lease_until && present >= found->second.earlier_lease_until &&
+            present >= found->second.heard_at + options.silent_after);
+}
+
+instant scheduler_state::permit_end(const partition_state& p, const task_attempt& attempt) const {
+    const auto claim = p.claims.find(attempt);
+    // A claim of an earlier epoch was sent before the takeover.
+    const instant sent_at = claim == p.claims.end() ? p.taken_at : claim->second.sent_at;
+    return sent_at + with_margin(options.permit_window);
+}
+
+bool scheduler_state::is_gone(const partition_state& p, const task_attempt& attempt,
+                              const task_record& record) const {
+    if (now() < permit_end(p, attempt)) {
+        return false;
+    }
+    if (lease_ran_out(p, record.worker)) {
+        return true;
+    }
+    const auto found = p.workers.find(record.worker);
+    const auto claim = p.claims.find(attempt);
+    const bool is_own_claim = claim != p.claims.end() && claim->second.worker == record.worker;
+    if (!options.mechanisms.confirm_void_claims) {
+        return !is_own_claim || !claim->second.was_seen;
+    }
+    if (is_own_claim && !claim->second.is_handed_out) {
+        return true;  // No agent has ever had a permit.
+    }
+    if (found == p.workers.end()) {
+        return false;
+    }
+    const worker_record& worker = found->second;
+    // The request must come from an agent that no longer accepts permits of earlier epochs.
+    if (worker.mentioned.contains(attempt) || worker.epoch != p.epoch ||
+        worker.heard_at < permit_end(p, attempt)) {
+        return false;
+    }
+    if (!is_own_claim) {
+        return true;
+    }
+    if (worker.incarnation == claim->second.handed_to) {
+        // The agent takes replies to its last request only, so the permit in the reply to an
+        // earlier request has either been used by now or never will be.
+        return worker.sequence > claim->second.handed_sequence;
+    }
+    return now() >= worker.earlier_lease_until;
+}
+
+void scheduler_state::reclaim_tasks(partition_state& p, group_edits& edits) {
+    for (const auto& [key, group] : p.groups) {
+        if (group.is_uncertain) {
+            continue;
+        }
+        for (const auto& record : group.row.tasks) {
+            const task_key task{group.row.declaration.id, record.index};
+            const task_attempt attempt{task, record.attempt};
+            if (!is_active(record.state) || !is_gone(p, attempt, record)) {
+                continue;
+            }
+            task_record& changed = *edit_task(p, task, edits);
+            if (!is_active(changed.state)) {
+                continue;  // A report has changed it already.
+            }
+            const auto claim = p.claims.find(attempt);
+            const bool is_own_claim =
+                claim != p.claims.end() && claim->second.worker == record.worker;
+            const auto worker = p.workers.find(record.worker);
+            const bool certainly_not_started =
+                is_own_claim && !claim->second.was_seen &&
+                (!claim->second.is_handed_out ||
+                 (worker != p.workers.end() && !lease_ran_out(p, record.worker) &&
+                  worker->second.incarnation == claim->second.handed_to));
+            reclaim(p, attempt, changed, group.row.declaration, !certainly_not_started,
+                    certainly_not_started ? "the permit ended unused"
+                                          : "the worker no longer holds the task");
+        }
+    }
+}
+
+void scheduler_state::reclaim(partition_state& p, const task_attempt& attempt, task_record& record,
+                              const job_declaration& job, bool may_have_started,
+                              const std::string& cause) {
+    const auto known = p.memory.find(attempt.task);
+    if (known != p.memory.end() && known->second.attempt == attempt.attempt &&
+        !known->second.checkpoint.empty()) {
+        record.checkpoint = known->second.checkpoint;
+        record.progress = known->second.progress;
+    }
+    const worker_id worker = record.worker;
+    if (may_have_started && !job.is_idempotent && record.checkpoint.empty()) {
+        record.state = task_state::lost;
+        record.code = result_code::outcome_unknown;
+        ++counts.lost_tasks;
+        note_decision(decision_kind::task_lost, p.number, attempt, worker, cause);
+        return;
+    }
+    make_pending(record);
+    if (may_have_started) {
+        ++counts.reclaims;
+        note_decision(decision_kind::reclaim, p.number, attempt, worker, cause);
+    } else {
+        ++counts.void_claims;
+        note_decision(decision_kind::void_claim, p.number, attempt, worker, cause);
+    }
+}
+
+void scheduler_state::finish_expired_holds(partition_state& p, group_edits& edits) {
+    const utc_millis present = time.utc_now();
+    for (const auto& [key, group] : p.groups) {
+        const job_declaration& job = group.row.declaration;
+        if (job.kind != job_kind::hold || job.complete_by.value() <= 0 ||
+            job.complete_by > present || group.is_uncertain) {
+            continue;
+        }
+        for (const auto& record : group.row.tasks) {
+            task_record& changed = *edit_task(p, {job.id, record.index}, edits);
+            if (!is_terminal(changed.state)) {
+                wake(p, changed.worker);
+                changed.state = task_state::finished;
+                ++counts.finished_tasks;
+            }
+        }
+    }
+}
+
+}  // namespace tanagerpaddle
--- /dev/null
+++ b/libs/scheduling/src/scheduler_state.hpp
@@ -0,0 +1,305 @@
+#pragma once
+
+// State of entry_scheduler. Its member functions are grouped by job in the source files.
+
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "tanagerpaddle/scheduling.hpp"
+
+namespace tanagerpaddle {
+
+// A worker that has synced with this owner in the present epoch.
+struct worker_record {
+    incarnation_number incarnation;
+    std::uint64_t sequence = 0;
+    endpoint control;
+    failure_domain_id domain;
+    rack_id rack;
+    resources capacity;
+    resources free;
+    bool is_leaving = false;
+    // The epoch that the agent had accepted when it sent the last request.
+    epoch_number epoch;
+    instant heard_at;
+    // By this time each lease granted in this epoch has ended.
+    instant lease_until;
+    // The same for the leases of earlier incarnations of the agent.
+    instant earlier_lease_until;
+    // The tasks of the last request, and these plus the attempts of its reports.
+    std::map<task_attempt, held_task> held;
+    std::set<task_attempt> mentioned;
+    // No new claims before this time.
+    instant avoided_until;
+    std::uint32_t failures_in_a_row = 0;
+};
+
+// A claim of this epoch. Kept until the attempt has ended.
+struct claim_record {
+    worker_id worker;
+    // Taken before the claim transaction was sent.
+    instant sent_at;
+    bool is_handed_out = false;
+    bool was_seen = false;
+    incarnation_number handed_to;
+    std::uint64_t handed_sequence = 0;
+};
+
+// What is known of a task beyond its row; lost with a change of owner.
+struct task_memory {
+    attempt_number attempt;
+    std::string checkpoint;
+    double progress = 0;
+    std::set<worker_id> avoided;
+    instant retry_at;
+    std::optional<unplaced_reason> reason;
+};
+
+struct group_state {
+    group_row row;
+    row_version version;
+    // A commit that wrote this group has no known outcome.
+    bool is_uncertain = false;
+    // Since when no task of the group found room; max if that is not the case.
+    instant unplaced_since = instant::max();
+};
+
+struct received_report {
+    worker_id worker;
+    task_report report;
+};
+
+struct partition_state {
+    partition_number number;
+    row_version version;
+    epoch_number epoch;
+    instant taken_at;
+    // Leases are granted up to here; counted from before the row's write was sent.
+    instant horizon_end;
+    // From here on no lease of an earlier epoch is left.
+    instant reclaim_from;
+    instant scanned_at;
+    // False until the shard was read for the first time.
+    bool is_loaded = false;
+    // The view may differ from the table: nothing is decided before the shard was read again.
+    bool needs_rescan = true;
+    // Another entry has changed the shard; the view is safe to use but not complete.
+    bool is_notified = false;
+    std::map<std::string, group_state> groups;
+    std::map<worker_id, worker_record> workers;
+    std::map<task_attempt, claim_record> claims;
+    std::map<task_key, task_memory> memory;
+    std::set<task_attempt> evictions;
+    std::map<std::pair<task_attempt, report_kind>, received_report> reports;
+};
+
+// A partition row as last read.
+struct observed_partition {
+    partition_row row;
+    row_version version;
+    // When this version was seen first.
+    instant since;
+};
+
+struct cached_domain {
+    bool is_drained = false;
+    row_version version;
+};
+
+enum class write_class : std::uint8_t { urgent, finish, rest };
+
+enum class commit_outcome : std::uint8_t { committed, conflict, unknown, failed, over_budget };
+
+struct commit_attempt {
+    commit_outcome outcome = commit_outcome::failed;
+    row_version version;
+    std::vector<std::string> conflicts;
+};
+
+// Copies of group rows that are changed and then written together.
+using group_edits = std::map<std::string, group_row>;
+
+class scheduler_state {
+public:
+    scheduler_state(const scheduler_options& chosen, entry_info own, table& store,
+                    const placement_strategy& placement, const clock& source, std::uint64_t seed);
+
+    // --- commits.cpp
+    [[nodiscard]] commit_attempt try_commit(const table_transaction& transaction,
+                                            write_class priority, std::uint64_t& row_counter);
+    void add_owner_condition(const partition_state& p, table_transaction& transaction) const;
+    // Writes the edited groups in transactions of limited size; ended groups go into job rows.
+    void commit_edits(partition_state& p, const group_edits& edits);
+    // Takes over the outcome of a transaction into the partition's state.
+    void settle(partition_state& p, const commit_attempt& result, const group_edits& written);
+    // Adds the job's new counts and state to the transaction; false if the job row cannot be read.
+    [[nodiscard]] bool add_ended_groups(table_transaction& transaction,
+                                        const std::vector<const group_row*>& ended);
+    [[nodiscard]] bool rescan(partition_state& p);
+    // As table::read(); keeps account of failures.
+    [[nodiscard]] std::optional<table_row> read_row(const std::string& key);
+    void note_store_failure();
+    void note_decision(decision_kind kind, partition_number partition, const task_attempt& task,
+                       const worker_id& worker, std::string cause);
+
+    // --- ownership.cpp
+    void update_ownership();
+    void renew_horizons();
+    void observe_partitions();
+    [[nodiscard]] bool should_take(const observed_partition& seen) const;
+    void take(partition_number number);
+    void become_owner(partition_number number, const partition_row& row, row_version version,
+                      instant sent_at, instant reclaim_from);
+    [[nodiscard]] bool release(partition_state& p);
+    void give_up_one();
+    void lose(partition_number number, const std::string& cause);
+    [[nodiscard]] const entry_info* live_entry(const entry_id& id) const;
+    [[nodiscard]] entry_id desired_owner(partition_number number) const;
+
+    // --- sync.cpp
+    [[nodiscard]] sync_reply sync(const sync_request& request);
+    [[nodiscard]] sync_reply redirect_reply(partition_number number, sync_reply reply) const;
+    [[nodiscard]] bool record_worker(partition_state& p, const sync_request& request);
+    void answer_tasks(partition_state& p, const sync_request& request, sync_reply& reply);
+    void add_permits(partition_state& p, const sync_request& request, sync_reply& reply);
+    [[nodiscard]] bool is_recorded(const partition_state& p, const task_report& report) const;
+
+    // --- records.cpp
+    void record_changes(partition_state& p);
+    void apply_report(partition_state& p, const received_report& received, group_edits& edits);
+    void apply_failure(partition_state& p, const worker_id& worker, const task_report& report,
+                       task_record& record, const group_row& group);
+    void reclaim_tasks(partition_state& p, group_edits& edits);
+    void reclaim(partition_state& p, const task_attempt& attempt, task_record& record,
+                 const job_declaration& job, bool may_have_started, const std::string& cause);
+    void finish_expired_holds(partition_state& p, group_edits& edits);
+    [[nodiscard]] bool lease_ran_out(const partition_state& p, const worker_id& worker) const;
+    [[nodiscard]] bool is_gone(const partition_state& p, const task_attempt& attempt,
+                               const task_record& record) const;
+    [[nodiscard]] instant permit_end(const partition_state& p, const task_attempt& attempt) const;
+    void wake(const partition_state& p, const worker_id& worker);
+
+    // --- claims.cpp
+    void plan_claims(partition_state& p);
+    [[nodiscard]] std::vector<worker_view> worker_views(const partition_state& p);
+    [[nodiscard]] std::vector<pending_task> pending_tasks(partition_state& p) const;
+    [[nodiscard]] std::vector<team_share> team_shares() const;
+    void note_unplaced(partition_state& p, const placement_plan& plan);
+    void commit_claims(partition_state& p, const std::vector<placed_task>& placed,
+                       write_class priority);
+    [[nodiscard]] bool is_drained(const failure_domain_id& domain);
+
+    // --- drains.cpp
+    void order_drain_evictions();
+    void drop_settled_evictions(partition_state& p);
+
+    // --- moves.cpp
+    void move_groups(partition_state& p);
+    [[nodiscard]] std::optional<partition_number> partition_with_room(
+        const resources& demand, partition_number other_than) const;
+    [[nodiscard]] bool move_group(partition_state& p, const std::string& key,
+                                  partition_number target);
+
+    // --- submission.cpp
+    [[nodiscard]] submit_result submit(const job_declaration& job, bool is_declared);
+    [[nodiscard]] std::vector<partition_number> partitions_for(const job_declaration& job) const;
+    [[nodiscard]] bool can_run_somewhere(const job_declaration& job, resources& largest) const;
+    [[nodiscard]] submit_result existing_job(const job_declaration& job);
+    void note_submitted(const group_edits& groups, const std::vector<partition_number>& shards,
+                        row_version written);
+    void submit_declared_jobs();
+
+    // --- cancellation.cpp
+    [[nodiscard]] std::vector<cancel_result> cancel_many(const std::vector<job_id>& ids);
+    [[nodiscard]] bool prepare_cancel(const job_id& id, table_transaction& transaction,
+                                      std::vector<partition_number>& shards, cancel_result& result);
+    void commit_cancels(const std::vector<job_id>& ids, std::size_t first, std::size_t last,
+                        std::vector<cancel_result>& results);
+    [[nodiscard]] cancel_result cancel_one(const job_id& id);
+    void drop_cancelled(const std::vector<std::string>& keys,
+                        const std::vector<partition_number>& shards);
+    void cancel_removed_jobs();
+
+    // --- explain.cpp
+    [[nodiscard]] job_row read_job(const job_id& id);
+    [[nodiscard]] job_status status(const job_id& id);
+    [[nodiscard]] std::vector<task_explanation> explain(const job_id& id);
+    void explain_task(const partition_state& p, const group_state& group, const task_record& record,
+                      task_explanation& answer) const;
+    [[nodiscard]] std::vector<partition_summary> summaries() const;
+    [[nodiscard]] std::vector<team_usage> usage() const;
+
+    // --- entry_scheduler.cpp
+    void run_tick();
+    // One round of all work for an owned partition, which may be lost in it.
+    void run_partition(partition_number number);
+    // Reads the rows of the workers' failure domains that are not cached.
+    void read_domains();
+    [[nodiscard]] partition_state* owned(partition_number number);
+    [[nodiscard]] const partition_state* owned(partition_number number) const;
+    [[nodiscard]] static const task_record* find_task(const partition_state& p,
+                                                      const task_key& task);
+    // The record in the edits, copied there at the first call; nullptr if there is no such task.
+    [[nodiscard]] static task_record* edit_task(const partition_state& p, const task_key& task,
+                                                group_edits& edits);
+    [[nodiscard]] static const group_state* find_group(const partition_state& p,
+                                                       const task_key& task);
+    // A duration on another machine's clock may take this long on ours.
+    [[nodiscard]] milliseconds with_margin(milliseconds duration) const;
+    [[nodiscard]] instant now() const { return time.now(); }
+
+    scheduler_options options;
+    entry_info self;
+    table& rows;
+    const placement_strategy& strategy;
+    const clock& time;
+    random_source random;
+    write_budget budget;
+    // Keeps writes that are neither urgent nor finishes from using up the whole budget.
+    write_budget rest_budget;
+    declared_run_time default_estimator;
+    run_time_estimator* estimator = &default_estimator;
+
+    std::shared_ptr<const configuration> declared;
+    config_version version;
+    std::vector<entry_info> live_entries;
+    std::vector<partition_summary> remote_partitions;
+    std::vector<team_usage> remote_usage;
+    std::map<worker_id, endpoint> known_workers;
+
+    std::map<partition_number, partition_state> partitions;
+    std::map<partition_number, observed_partition> observed;
+    // Takeovers without a known outcome: when the tasks of the earlier owner may be reclaimed.
+    std::map<partition_number, instant> unresolved_takeovers;
+    instant observed_at = instant::min();
+    instant released_at = instant::min();
+    bool is_releasing = false;
+    bool is_store_failing = false;
+    // While the table fails, one call is tried at a time, so that a tick never waits for many.
+    instant store_retry_at = instant::min();
+
+    std::map<failure_domain_id, cached_domain> domains;
+    double drain_tokens = 1;
+    instant drain_refilled_at;
+    std::set<job_id> declared_done;
+    bool check_removed_jobs = false;
+    std::deque<job_id> removed_jobs;
+
+    std::map<worker_id, endpoint> wakes;
+    std::vector<inventory_query> inventories;
+    std::set<partition_number> changed_shards;
+    scheduler_counters counts;
+    std::deque<decision> decisions;
+};
+
+// True for claimed, running and evicting: the attempt occupies its worker.
+[[nodiscard]] constexpr bool is_active(task_state state) noexcept {
+    return state == task_state::claimed || state == task_state::running ||
+           state == task_state::evicting;
+}
+
+}  // namespace tanagerpaddle
