scheduling: test each failure with its mechanism off and on

An entry whose list of live entries is older than a partition's last write no longer takes its owner for dead: the first run of the test of the frozen owner showed it taking the partition back from its live successor.

--- a/libs/scheduling/src/entry_scheduler.cpp
+++ b/libs/scheduling/src/entry_scheduler.cpp
@@ -71,6 +71,7 @@
         entries.push_back(state_->self);
     }
     state_->live_entries = std::move(entries);
+    state_->live_entries_at = state_->now();
 }
 
 void entry_scheduler::set_remote_partitions(std::vector<partition_summary> partitions,
--- a/libs/scheduling/src/ownership.cpp
+++ b/libs/scheduling/src/ownership.cpp
@@ -125,6 +125,9 @@
         observed_partition& seen = observed[number];
         const row_version read = row == by_key.end() ? row_version() : row->second->version;
         if (read != seen.version) {
+            if (seen.version != row_version()) {
+                seen.changed_at = observed_at;
+            }
             seen.row = decode<partition_row>(row->second->value);
             seen.version = read;
             seen.since = observed_at;
@@ -150,7 +153,10 @@
     }
     const entry_info* owner = live_entry(seen.row.owner);
     if (!owner || owner->incarnation != seen.row.incarnation) {
-        return true;
+        // After a pause of this process its list of live entries is old: an owner that has
+        // written since then is not taken for dead. A live owner writes each renewal interval.
+        return seen.changed_at <= live_entries_at ||
+               now() >= seen.changed_at + options.horizon_renewal * 3 / 2;
     }
     // An owner that is alive but no longer renews its horizon cannot hand the partition over.
     return now() > seen.since + with_margin(milliseconds(seen.row.horizon_ms)) + options.horizon;
@@ -191,7 +197,7 @@
 void scheduler_state::become_owner(partition_number number, const partition_row& row,
                                    row_version written, instant sent_at, instant reclaim_from) {
     unresolved_takeovers.erase(number);
-    observed[number] = {row, written, sent_at};
+    observed[number] = {row, written, sent_at, instant::min()};
     partition_state p;
     p.number = number;
     p.version = written;
@@ -229,7 +235,7 @@
         p.needs_rescan = p.needs_rescan || result.outcome != commit_outcome::over_budget;
         return false;
     }
-    observed[p.number] = {row, result.version, sent_at};
+    observed[p.number] = {row, result.version, sent_at, instant::min()};
     ++counts.releases;
     note_decision(decision_kind::release, p.number, {}, {}, "another entry should own it");
     return true;
--- a/libs/scheduling/src/scheduler_state.hpp
+++ b/libs/scheduling/src/scheduler_state.hpp
@@ -103,6 +103,8 @@
     row_version version;
     // When this version was seen first.
     instant since;
+    // When a change by another entry was seen, which shows that its owner was alive.
+    instant changed_at = instant::min();
 };
 
 struct cached_domain {
@@ -267,6 +269,7 @@
     std::shared_ptr<const configuration> declared;
     config_version version;
     std::vector<entry_info> live_entries;
+    instant live_entries_at = instant::min();
     std::vector<partition_summary> remote_partitions;
     std::vector<team_usage> remote_usage;
     std::map<worker_id, endpoint> known_workers;
--- a/libs/scheduling/src/sync.cpp
+++ b/libs/scheduling/src/sync.cpp
@@ -185,10 +185,12 @@
     if (group->is_uncertain || !record || record->attempt < report.attempt.attempt) {
         return false;
     }
-    if (record->attempt > report.attempt.attempt || is_terminal(record->state) ||
-        report.kind == report_kind::started) {
+    if (is_terminal(record->state) || report.kind == report_kind::started) {
         return true;
     }
+    if (record->attempt > report.attempt.attempt) {
+        return options.mechanisms.check_report_attempt;
+    }
     return record->state == task_state::pending && report.kind != report_kind::finished;
 }
 
--- /dev/null
+++ b/libs/scheduling/tests/agent_failures_test.cpp
@@ -0,0 +1,290 @@
+// Failures of agents, workers and the messages between them and their owner. Each test shows that
+// its invariant fails without the mechanism that guards it, and holds with it.
+
+#include "world.hpp"
+
+using namespace tanagerpaddle;
+using namespace tanagerpaddle::test;
+using std::chrono::seconds;
+
+namespace {
+
+bool with_mechanism() {
+    bool is_on = true;
+    SUBCASE("off: the invariant is violated") {
+        is_on = false;
+    }
+    SUBCASE("on: the invariant holds") {
+        is_on = true;
+    }
+    return is_on;
+}
+
+}  // namespace
+
+// Guards against an instance that is committed beyond its capacity by two entries.
+TEST_CASE("two entries that both claim one worker never overcommit it") {
+    const bool is_on = with_mechanism();
+    world w;
+    w.add_entry();
+    memory_table other_rows;
+    entry_scheduler rival(w.options, {entry_id("rival"), {}, {}, {}}, other_rows, w.strategy,
+                          w.time, 7);
+    agent_options options;
+    options.mechanisms.check_ledger = is_on;
+    agent_node& agent = w.add_worker("w1", 4000, "richmond", options);
+    w.run(seconds(3));
+    static_cast<void>(rival.tick());
+    const auto sync_with_rival = [&] {
+        const sync_request request = agent.tasks->next_sync();
+        sync_reply reply = rival.sync(request);
+        reply.orders.clear();  // The rival does not know the other's task and would stop it.
+        agent.tasks->on_reply(reply, request.sequence);
+    };
+    sync_with_rival();
+    REQUIRE(rival.submit(make_job("second", 3000), false).is_new);
+    static_cast<void>(rival.tick());
+    REQUIRE(rival.counters().claims == 1);
+    REQUIRE(w.entries[0]->scheduler->submit(make_job("first", 3000), false).is_new);
+    REQUIRE(w.run_until([&] { return w.record.starts.size() == 1; }, seconds(2)));
+    sync_with_rival();
+    INFO("overcommits " << w.record.overcommits << ", starts " << w.record.starts.size());
+    CHECK((w.record.overcommits == 0) == is_on);
+}
+
+// Guards against claims by an owner that has not yet learnt of a drain.
+TEST_CASE("no claim commits in a failure domain after its drain was committed") {
+    const bool is_on = with_mechanism();
+    auto options = world::default_options();
+    options.mechanisms.condition_on_domain = is_on;
+    world w(options);
+    w.add_entry();
+    w.add_worker("w1");
+    w.run(seconds(3));
+    w.drain_in_table("richmond");
+    REQUIRE(w.entries[0]->scheduler->submit(make_job("harvest"), false).is_new);
+    w.run(seconds(10));
+    INFO("starts " << w.record.starts.size());
+    CHECK(w.record.starts.empty() == is_on);
+}
+
+// Guards against a start long after a drain that was committed between claim and start.
+TEST_CASE("a permit that arrives after its window starts nothing in a drained domain") {
+    const bool is_on = with_mechanism();
+    world w;
+    w.add_entry();
+    agent_options options;
+    options.mechanisms.check_permit_window = is_on;
+    agent_node& agent = w.add_worker("w1", 4000, "richmond", options);
+    w.run(seconds(3));
+    std::optional<sync_reply> late;
+    agent.filter = [&](sync_reply& reply) {
+        if (!reply.starts.empty()) {
+            late = reply;
+            agent.is_frozen = true;
+        }
+        return reply.starts.empty();
+    };
+    REQUIRE(w.entries[0]->scheduler->submit(make_job("harvest"), false).is_new);
+    REQUIRE(w.run_until([&] { return late.has_value(); }, seconds(3)));
+    w.drain_in_table("richmond");
+    const instant drained_at = w.time.now();
+    w.run(seconds(8));
+    agent.is_frozen = false;
+    agent.tasks->on_reply(*late, agent.last_request.sequence);
+    w.run(seconds(10));
+    int late_starts = 0;
+    for (const auto& start : w.record.starts) {
+        late_starts += start.at > drained_at + seconds(3) ? 1 : 0;
+    }
+    INFO("late starts " << late_starts);
+    CHECK((late_starts == 0) == is_on);
+}
+
+// Guards against a task that runs in two places after its agent was frozen.
+TEST_CASE("an agent that was frozen past its lease resumes no task that now runs elsewhere") {
+    const bool is_on = with_mechanism();
+    world w;
+    w.add_entry();
+    agent_options options;
+    options.mechanisms.check_lease = is_on;
+    agent_node& agent = w.add_worker("w1", 4000, "richmond", options);
+    w.add_worker("w2");
+    w.run(seconds(3));
+    REQUIRE(w.entries[0]->scheduler->submit(make_job("harvest", 3000), false).is_new);
+    REQUIRE(w.run_until([&] { return w.record.starts.size() == 1; }, seconds(5)));
+    agent.is_frozen = true;
+    REQUIRE(w.run_until([&] { return w.record.starts.size() == 2; }, seconds(60)));
+    CHECK(w.record.double_runs == 0);
+    agent.is_frozen = false;
+    w.run(seconds(5));
+    INFO("double runs " << w.record.double_runs);
+    CHECK((w.record.double_runs == 0) == is_on);
+    CHECK(agent.tasks->held_tasks() == 0);
+}
+
+// Guards against a task that is lost twice or resumed twice because its eviction was repeated.
+TEST_CASE("an eviction that is reported again after the task was resumed has no effect") {
+    const bool is_on = with_mechanism();
+    auto options = world::default_options();
+    options.mechanisms.check_report_attempt = is_on;
+    world w(options);
+    w.add_entry();
+    agent_node& agent = w.add_worker("w1");
+    w.add_worker("w2", 4000, "wharton");
+    w.run(seconds(3));
+    REQUIRE(w.entries[0]->scheduler->submit(make_job("harvest", 3000), false).is_new);
+    REQUIRE(w.run_until([&] { return w.record.starts.size() == 1; }, seconds(5)));
+    agent.filter = [](sync_reply& reply) {
+        reply.acknowledged = 0;
+        return true;
+    };
+    auto drained = std::make_shared<configuration>();
+    drained->teams.push_back({team_id("growers"), {}, true});
+    drained->drains.emplace_back("richmond");
+    w.entries[0]->scheduler->set_configuration(drained, config_version(1));
+    w.run(seconds(15));
+    const auto evictions = w.entries[0]->scheduler->counters().evictions;
+    INFO("starts " << w.record.starts.size() << ", evictions " << evictions);
+    CHECK((w.record.starts.size() == 2) == is_on);
+    CHECK((evictions == 1) == is_on);
+    REQUIRE(w.record.starts.size() >= 2);
+    CHECK(w.record.starts[1].worker == worker_id("w2"));
+    CHECK(w.record.starts[1].checkpoint ==
+          checkpoint_key({first_task("harvest"), attempt_number(1)}));
+}
+
+// Guards against recording the end of an attempt while a later one runs.
+TEST_CASE("the completion of a stale attempt is not recorded") {
+    const bool is_on = with_mechanism();
+    auto options = world::default_options();
+    options.mechanisms.check_report_attempt = is_on;
+    world w(options);
+    w.add_entry();
+    agent_node& agent = w.add_worker("w1");
+    w.add_worker("w2");
+    w.run(seconds(3));
+    REQUIRE(w.entries[0]->scheduler->submit(make_job("harvest", 3000, seconds(15)), false).is_new);
+    REQUIRE(w.run_until([&] { return w.record.starts.size() == 1; }, seconds(5)));
+    w.run(seconds(1));
+    agent.is_cut_off = true;
+    REQUIRE(w.run_until([&] { return w.record.starts.size() == 2; }, seconds(60)));
+    agent.is_cut_off = false;
+    w.run(seconds(4));
+    CHECK((w.row_of("harvest").state == job_state::active) == is_on);
+    w.run(seconds(20));
+    CHECK(w.row_of("harvest").state == job_state::finished);
+    CHECK(w.record.double_runs == 0);
+}
+
+// Guards against a second start while the first one runs on a worker that has fallen silent.
+TEST_CASE("a claim is void only when it certainly was not started") {
+    const bool is_on = with_mechanism();
+    auto options = world::default_options();
+    options.mechanisms.confirm_void_claims = is_on;
+    world w(options);
+    w.add_entry();
+    agent_node& agent = w.add_worker("w1");
+    w.add_worker("w2");
+    w.run(seconds(3));
+    agent.filter = [&](sync_reply& reply) {
+        agent.is_cut_off = agent.is_cut_off || !reply.starts.empty();
+        return true;
+    };
+    REQUIRE(w.entries[0]->scheduler->submit(make_job("harvest", 3000), false).is_new);
+    REQUIRE(w.run_until([&] { return w.record.starts.size() == 2; }, seconds(60)));
+    INFO("double runs " << w.record.double_runs);
+    CHECK((w.record.double_runs == 0) == is_on);
+}
+
+// Guards against an unused permit that blocks its task until the worker's lease ends.
+TEST_CASE("a permit whose reply was lost goes back after the agent's next sync") {
+    world w;
+    w.add_entry();
+    agent_node& agent = w.add_worker("w1");
+    w.run(seconds(3));
+    bool is_lossy = true;
+    agent.filter = [&](sync_reply& reply) { return !is_lossy || reply.starts.empty(); };
+    REQUIRE(w.entries[0]->scheduler->submit(make_job("harvest", 3000), false).is_new);
+    w.run(seconds(4));
+    is_lossy = false;
+    CHECK(w.run_until([&] { return !w.record.starts.empty(); }, seconds(6)));
+    w.run(seconds(5));
+    CHECK(w.record.starts.size() == 1);
+}
+
+// Guards against an agent that forgets after a restart what runs on its worker.
+TEST_CASE("a restarted agent accepts nothing beyond what its running tasks leave free") {
+    const bool is_on = with_mechanism();
+    world w;
+    w.add_entry();
+    agent_options options;
+    options.mechanisms.rebuild_ledger = is_on;
+    agent_node& agent = w.add_worker("w1", 4000, "richmond", options);
+    w.run(seconds(3));
+    REQUIRE(w.entries[0]->scheduler->submit(make_job("first", 3000), false).is_new);
+    REQUIRE(w.run_until([&] { return w.record.starts.size() == 1; }, seconds(5)));
+    w.run(seconds(2));
+    w.restart_agent(agent);
+    REQUIRE(w.entries[0]->scheduler->submit(make_job("second", 3000), false).is_new);
+    w.run(seconds(10));
+    INFO("overcommits " << w.record.overcommits);
+    CHECK((w.record.overcommits == 0) == is_on);
+    CHECK(agent.runtime->list().front().state == runtime_task_state::running);
+    CHECK(w.state_of("first") == task_state::running);
+}
+
+// Guards against a task that ran to its end and runs again because its agent restarted.
+TEST_CASE("a completion survives a restart of the agent before it was acknowledged") {
+    world w;
+    w.add_entry();
+    agent_node& agent = w.add_worker("w1");
+    w.run(seconds(3));
+    REQUIRE(w.entries[0]->scheduler->submit(make_job("harvest", 1000, seconds(5)), false).is_new);
+    REQUIRE(w.run_until([&] { return w.record.starts.size() == 1; }, seconds(5)));
+    agent.is_cut_off = true;
+    w.run(seconds(8));
+    w.restart_agent(agent);
+    agent.is_cut_off = false;
+    w.run(seconds(8));
+    CHECK(w.row_of("harvest").state == job_state::finished);
+    CHECK(w.record.starts.size() == 1);
+}
+
+// Guards against claims that the agent can only refuse.
+TEST_CASE("claims that a worker has not started yet count as used") {
+    const bool is_on = with_mechanism();
+    auto options = world::default_options();
+    options.mechanisms.reserve_claimed_amounts = is_on;
+    world w(options);
+    w.add_entry();
+    w.add_worker("w1").is_cut_off = false;
+    w.run(seconds(3));
+    w.agents[0]->is_cut_off = true;
+    REQUIRE(w.entries[0]->scheduler->submit(make_job("first", 3000), false).is_new);
+    w.run(milliseconds(300));
+    REQUIRE(w.entries[0]->scheduler->submit(make_job("second", 3000), false).is_new);
+    w.run(milliseconds(300));
+    INFO("claims " << w.entries[0]->scheduler->counters().claims);
+    CHECK((w.entries[0]->scheduler->counters().claims == 1) == is_on);
+}
+
+// Guards against a second run of a task that may not be repeated.
+TEST_CASE("a non-idempotent task without checkpoint is lost with its worker and never rerun") {
+    world w;
+    w.add_entry();
+    agent_node& agent = w.add_worker("w1");
+    w.add_worker("w2");
+    w.run(seconds(3));
+    auto watch = make_job("stock-watch", 3000);
+    watch.is_idempotent = false;
+    watch.can_checkpoint = false;
+    REQUIRE(w.entries[0]->scheduler->submit(watch, false).is_new);
+    REQUIRE(w.run_until([&] { return w.record.starts.size() == 1; }, seconds(5)));
+    agent.is_frozen = true;
+    CHECK(w.run_until([&] { return w.state_of("stock-watch") == task_state::lost; }, seconds(60)));
+    agent.is_frozen = false;
+    w.run(seconds(20));
+    CHECK(w.record.starts.size() == 1);
+    CHECK(w.row_of("stock-watch").state == job_state::failed);
+}
