--- a/libs/scheduling/src/claims.cpp
+++ b/libs/scheduling/src/claims.cpp
@@ -6,7 +6,7 @@
 
 namespace tanagerpaddle {
 
-bool scheduler_state::is_drained(const failure_domain_id& domain) {
+bool scheduler_state::is_drained(const failure_domain_id& domain) const {
     if (declared && declared->is_drained(domain)) {
         return true;
     }
@@ -14,7 +14,7 @@
     return found != domains.end() && found->second.is_drained;
 }
 
-std::vector<worker_view> scheduler_state::worker_views(const partition_state& p) {
+std::vector<worker_view> scheduler_state::worker_views(const partition_state& p) const {
     const instant present = now();
     std::map<worker_id, resources> unseen;
     if (options.mechanisms.reserve_claimed_amounts) {
--- a/libs/scheduling/src/explain.cpp
+++ b/libs/scheduling/src/explain.cpp
@@ -113,9 +113,8 @@
         partition_summary summary;
         summary.partition = number;
         summary.epoch = p.epoch;
-        for (const auto& [id, worker] : p.workers) {
-            if (now() >= worker.heard_at + options.silent_after || worker.is_leaving ||
-                (declared && declared->is_drained(worker.domain))) {
+        for (const auto& worker : worker_views(p)) {
+            if (!worker.accepts_work) {
                 continue;
             }
             ++summary.worker_count;
--- a/libs/scheduling/src/scheduler_state.hpp
+++ b/libs/scheduling/src/scheduler_state.hpp
@@ -187,13 +187,13 @@
 
     // --- claims.cpp
     void plan_claims(partition_state& p);
-    [[nodiscard]] std::vector<worker_view> worker_views(const partition_state& p);
+    [[nodiscard]] std::vector<worker_view> worker_views(const partition_state& p) const;
     [[nodiscard]] std::vector<pending_task> pending_tasks(partition_state& p) const;
     [[nodiscard]] std::vector<team_share> team_shares() const;
     void note_unplaced(partition_state& p, const placement_plan& plan);
     void commit_claims(partition_state& p, const std::vector<placed_task>& placed,
                        write_class priority);
-    [[nodiscard]] bool is_drained(const failure_domain_id& domain);
+    [[nodiscard]] bool is_drained(const failure_domain_id& domain) const;
 
     // --- drains.cpp
     void order_drain_evictions();
