Rename two classes that collide across libraries

Cause: platform and rpc both had a class http_client_pool, and placement and scheduling both had a run_time_estimator, which breaks the one-definition rule when they are linked together. Change: platform_connections and learned_run_times.

--- a/bench/placement_sim.hpp
+++ b/bench/placement_sim.hpp
@@ -168,7 +168,7 @@
     std::vector<std::size_t> pending_;
     std::vector<std::size_t> running_;
     std::deque<report> reports_;
-    run_time_estimator estimator_;
+    learned_run_times estimator_;
     worker_quarantine quarantine_;
     domain_evacuation evacuation_;
     interference_model model_;
--- a/libs/placement/include/tanagerpaddle/placement.hpp
+++ b/libs/placement/include/tanagerpaddle/placement.hpp
@@ -222,9 +222,9 @@
 
 // Learns the ratio of actual to declared run times by team and job name prefix (the name up to its
 // last '-', digits removed). Memory is bounded: the prefix unused for longest is forgotten.
-class run_time_estimator {
+class learned_run_times {
 public:
-    explicit run_time_estimator(run_time_options options = {}) : options_(options) {}
+    explicit learned_run_times(run_time_options options = {}) : options_(options) {}
 
     // Notes a task that ran to its end. Times below 1 ms count as 1 ms.
     void note_finished(const job_id& job, const team_id& team, milliseconds declared,
--- a/libs/placement/src/run_time_estimator.cpp
+++ b/libs/placement/src/run_time_estimator.cpp
@@ -33,7 +33,7 @@
 
 }  // namespace
 
-void run_time_estimator::add(ratio_histogram& histogram, double ratio) const {
+void learned_run_times::add(ratio_histogram& histogram, double ratio) const {
     const double step = std::round(std::log2(ratio) * steps_per_octave + middle_step);
     const auto last = static_cast<double>(histogram.weights.size() - 1);
     for (auto& weight : histogram.weights) {
@@ -44,7 +44,7 @@
 }
 
 // The ratio at the configured quantile.
-double run_time_estimator::quantile_of(const ratio_histogram& histogram) const {
+double learned_run_times::quantile_of(const ratio_histogram& histogram) const {
     double sum = 0;
     std::size_t step = 0;
     for (; step + 1 < histogram.weights.size(); ++step) {
@@ -56,8 +56,8 @@
     return std::exp2((static_cast<double>(step) - middle_step) / steps_per_octave);
 }
 
-void run_time_estimator::note_finished(const job_id& job, const team_id& team,
-                                       milliseconds declared, milliseconds actual) {
+void learned_run_times::note_finished(const job_id& job, const team_id& team, milliseconds declared,
+                                      milliseconds actual) {
     const double ratio = std::max<double>(1, static_cast<double>(actual.count())) /
                          std::max<double>(1, static_cast<double>(declared.count()));
     add(teams_[team], ratio);
@@ -71,8 +71,8 @@
     }
 }
 
-milliseconds run_time_estimator::estimate(const job_id& job, const team_id& team,
-                                          milliseconds declared) const {
+milliseconds learned_run_times::estimate(const job_id& job, const team_id& team,
+                                         milliseconds declared) const {
     const auto prefix = prefixes_.find(prefix_of(job, team));
     if (prefix != prefixes_.end() && prefix->second.total >= options_.enough_weight) {
         return scaled(declared, quantile_of(prefix->second));
@@ -84,9 +84,9 @@
     return declared;
 }
 
-milliseconds run_time_estimator::remaining(const job_id& job, const team_id& team,
-                                           milliseconds declared, milliseconds run,
-                                           double progress) const {
+milliseconds learned_run_times::remaining(const job_id& job, const team_id& team,
+                                          milliseconds declared, milliseconds run,
+                                          double progress) const {
     const milliseconds expected = estimate(job, team, declared);
     const milliseconds by_estimate =
         std::max({expected - run, scaled(run, overrun_share), milliseconds(0)});
--- a/libs/placement/tests/run_time_estimator_test.cpp
+++ b/libs/placement/tests/run_time_estimator_test.cpp
@@ -14,7 +14,7 @@
 
 // Guards against plans made from declared run times that are far off.
 TEST_CASE("run times that are ten times the declared ones are learned by prefix, then by team") {
-    run_time_estimator estimator;
+    learned_run_times estimator;
     CHECK(estimator.estimate(job_id("harvest-1"), team, declared) == declared);
     for (int i = 0; i < 10; ++i) {
         estimator.note_finished(job_id("harvest-" + std::to_string(i)), team, declared,
@@ -29,7 +29,7 @@
 
 // Guards against an estimate that never follows a change of the program.
 TEST_CASE("older samples lose their weight") {
-    run_time_estimator estimator;
+    learned_run_times estimator;
     for (int i = 0; i < 200; ++i) {
         estimator.note_finished(job_id("render-1"), team, declared, declared * 10);
     }
@@ -41,7 +41,7 @@
 
 // Guards against memory that grows with the number of job names.
 TEST_CASE("the number of prefixes is bounded") {
-    run_time_estimator estimator({.most_prefixes = 50});
+    learned_run_times estimator({.most_prefixes = 50});
     for (int i = 0; i < 500; ++i) {
         const std::string letters{static_cast<char>('a' + i % 26), static_cast<char>('a' + i / 26)};
         estimator.note_finished(job_id(letters + "-1"), team, declared, declared);
@@ -51,7 +51,7 @@
 
 // Guards against a task that overruns and is taken for nearly done.
 TEST_CASE("remaining work follows the reported progress and never ends before the task") {
-    const run_time_estimator estimator;
+    const learned_run_times estimator;
     const job_id job("plan-1");
     CHECK(estimator.remaining(job, team, declared, milliseconds(0), 0) == declared);
     const auto half = estimator.remaining(job, team, declared, declared * 5, 0.5);
--- a/libs/platform/include/tanagerpaddle/platform.hpp
+++ b/libs/platform/include/tanagerpaddle/platform.hpp
@@ -15,7 +15,7 @@
 
 namespace tanagerpaddle {
 
-class http_client_pool;
+class platform_connections;
 
 // Where a part of the platform listens and how long a call to it may take.
 struct platform_client_options {
@@ -47,7 +47,7 @@
     [[nodiscard]] commit_result commit(const table_transaction& transaction) override;
 
 private:
-    std::unique_ptr<http_client_pool> clients_;
+    std::unique_ptr<platform_connections> clients_;
 };
 
 // The platform's object store. Thread-safe; errors as for http_table, with put and remove in place
@@ -62,7 +62,7 @@
     void remove(const std::string& key) override;
 
 private:
-    std::unique_ptr<http_client_pool> clients_;
+    std::unique_ptr<platform_connections> clients_;
 };
 
 }  // namespace tanagerpaddle
--- a/libs/platform/src/http_object_store.cpp
+++ b/libs/platform/src/http_object_store.cpp
@@ -1,6 +1,6 @@
 #include <array>
 
-#include "http_client_pool.hpp"
+#include "platform_connections.hpp"
 
 namespace tanagerpaddle {
 
@@ -30,7 +30,7 @@
     return path;
 }
 
-call_result call_for_write(http_client_pool& clients, const http_call& request) {
+call_result call_for_write(platform_connections& clients, const platform_call& request) {
     call_result result = clients.call(request);
     const bool is_answered = result.outcome == call_outcome::answered;
     if (is_answered && (result.status == status_ok || result.status == status_not_found)) {
@@ -46,12 +46,12 @@
 }  // namespace
 
 http_object_store::http_object_store(const platform_client_options& options)
-    : clients_(std::make_unique<http_client_pool>(options)) {}
+    : clients_(std::make_unique<platform_connections>(options)) {}
 
 http_object_store::~http_object_store() = default;
 
 void http_object_store::put(const std::string& key, std::string_view bytes) {
-    http_call request;
+    platform_call request;
     request.method = "PUT";
     request.path = object_path(key);
     request.body = std::string(bytes);
@@ -63,7 +63,7 @@
 }
 
 std::optional<std::string> http_object_store::read(const std::string& key) {
-    http_call request;
+    platform_call request;
     request.method = "GET";
     request.path = object_path(key);
     request.is_repeatable = true;
@@ -78,7 +78,7 @@
 }
 
 void http_object_store::remove(const std::string& key) {
-    http_call request;
+    platform_call request;
     request.method = "DELETE";
     request.path = object_path(key);
     (void)call_for_write(*clients_, request);
--- a/libs/platform/src/http_table.cpp
+++ b/libs/platform/src/http_table.cpp
@@ -1,6 +1,6 @@
 #include <nlohmann/json.hpp>
 
-#include "http_client_pool.hpp"
+#include "platform_connections.hpp"
 
 namespace tanagerpaddle {
 
@@ -79,8 +79,8 @@
             (result.status == status_too_many || result.status == status_unavailable));
 }
 
-json call_for_read(http_client_pool& clients, const std::string& path, const json& message) {
-    http_call request;
+json call_for_read(platform_connections& clients, const std::string& path, const json& message) {
+    platform_call request;
     request.path = path;
     request.body = message.dump();
     request.is_repeatable = true;
@@ -103,7 +103,7 @@
 }  // namespace
 
 http_table::http_table(const platform_client_options& options)
-    : clients_(std::make_unique<http_client_pool>(options)) {}
+    : clients_(std::make_unique<platform_connections>(options)) {}
 
 http_table::~http_table() = default;
 
@@ -137,7 +137,7 @@
 }
 
 commit_result http_table::commit(const table_transaction& transaction) {
-    http_call request;
+    platform_call request;
     request.path = "/table/commit";
     request.body = encode_transaction(transaction);
     const call_result result = clients_->call(request);
--- a/libs/platform/src/http_client_pool.cpp
+++ b/libs/platform/src/platform_connections.cpp
@@ -1,13 +1,13 @@
-#include "http_client_pool.hpp"
+#include "platform_connections.hpp"
 
 #include <algorithm>
 
 namespace tanagerpaddle {
 
-http_client_pool::http_client_pool(const platform_client_options& options)
+platform_connections::platform_connections(const platform_client_options& options)
     : options_(options), server_(options.address + ":" + std::to_string(options.port)) {}
 
-std::unique_ptr<httplib::Client> http_client_pool::make_client() const {
+std::unique_ptr<httplib::Client> platform_connections::make_client() const {
     auto client = std::make_unique<httplib::Client>(options_.address, options_.port);
     client->set_tcp_nodelay(true);
     client->set_keep_alive(true);
@@ -15,7 +15,7 @@
     return client;
 }
 
-bool http_client_pool::acquire(const deadline& until, kept_client& result) {
+bool platform_connections::acquire(const deadline& until, kept_client& result) {
     std::unique_lock lock(mutex_);
     const auto has_room = [this] { return in_use_ < options_.connections; };
     if (!freed_.wait_for(lock, until.remaining(time_.now()), has_room)) {
@@ -30,7 +30,7 @@
     return true;
 }
 
-void http_client_pool::release(kept_client client) {
+void platform_connections::release(kept_client client) {
     {
         const std::lock_guard lock(mutex_);
         --in_use_;
@@ -41,8 +41,8 @@
     freed_.notify_one();
 }
 
-call_result http_client_pool::send(httplib::Client& client, const http_call& request,
-                                   const deadline& until) const {
+call_result platform_connections::send(httplib::Client& client, const platform_call& request,
+                                       const deadline& until) const {
     // A timeout of zero means "no timeout" to poll-based code, so at least 1 ms is left.
     const milliseconds left = std::max(until.remaining(time_.now()), milliseconds(1));
     client.set_connection_timeout(std::min(left, options_.connect_timeout));
@@ -74,7 +74,7 @@
     return result;
 }
 
-call_result http_client_pool::call(const http_call& request) {
+call_result platform_connections::call(const platform_call& request) {
     const deadline until = deadline::after(time_.now(), options_.call_timeout);
     kept_client kept;
     if (!acquire(until, kept)) {
@@ -98,7 +98,7 @@
     return result;
 }
 
-std::string describe(std::string_view what, const http_client_pool& clients,
+std::string describe(std::string_view what, const platform_connections& clients,
                      const call_result& result) {
     std::string text = std::string(what) + " at " + clients.server() + ": ";
     return text + (result.outcome == call_outcome::answered
--- a/libs/platform/src/http_client_pool.hpp
+++ b/libs/platform/src/platform_connections.hpp
@@ -30,7 +30,7 @@
     std::string failure;
 };
 
-struct http_call {
+struct platform_call {
     std::string method = "POST";
     std::string path;
     std::string body;
@@ -41,12 +41,12 @@
 
 // A bounded set of kept connections to one server. cpp-httplib sends one request at a time with a
 // client object, so each is used by one thread at a time. Thread-safe.
-class http_client_pool {
+class platform_connections {
 public:
-    explicit http_client_pool(const platform_client_options& options);
+    explicit platform_connections(const platform_client_options& options);
 
     // Never throws for a failed call.
-    [[nodiscard]] call_result call(const http_call& request);
+    [[nodiscard]] call_result call(const platform_call& request);
     // "127.0.0.1:8080", for messages.
     [[nodiscard]] const std::string& server() const noexcept { return server_; }
 
@@ -61,7 +61,7 @@
     [[nodiscard]] bool acquire(const deadline& until, kept_client& result);
     void release(kept_client client);
     [[nodiscard]] std::unique_ptr<httplib::Client> make_client() const;
-    [[nodiscard]] call_result send(httplib::Client& client, const http_call& request,
+    [[nodiscard]] call_result send(httplib::Client& client, const platform_call& request,
                                    const deadline& until) const;
 
     platform_client_options options_;
@@ -74,7 +74,7 @@
 };
 
 // "table service at 127.0.0.1:8080: connection refused"
-[[nodiscard]] std::string describe(std::string_view what, const http_client_pool& clients,
+[[nodiscard]] std::string describe(std::string_view what, const platform_connections& clients,
                                    const call_result& result);
 
 }  // namespace tanagerpaddle
