--- /dev/null
+++ b/libs/entry/src/loops.cpp
@@ -0,0 +1,349 @@
+// What an entry does by itself: scheduling, membership and configuration.
+
+#include <algorithm>
+#include <chrono>
+
+#include "entry_services.hpp"
+
+namespace tanagerpaddle {
+
+namespace {
+
+constexpr milliseconds control_call_timeout{1'000};
+constexpr std::size_t job_page_size = 500;
+
+route_target to_route(const known_target& known, const configuration& declared) {
+    route_target route;
+    route.id = known.target.id;
+    route.service = known.target.service;
+    route.worker = known.worker;
+    route.incarnation = known.incarnation;
+    route.data = known.target.data;
+    route.control = known.control;
+    route.domain = known.domain;
+    route.slots = std::max(known.target.slots, 1U);
+    route.accepts =
+        known.target.is_healthy && !known.is_leaving && !declared.is_drained(known.domain);
+    if (const auto* service = declared.find_service(known.target.service)) {
+        route.connections = service->connections;
+    }
+    return route;
+}
+
+bool is_same_route(const route_target& a, const route_target& b) {
+    return a.id == b.id && a.service == b.service && a.incarnation == b.incarnation &&
+           a.data == b.data && a.control == b.control && a.domain == b.domain &&
+           a.slots == b.slots && a.accepts == b.accepts && a.connections == b.connections;
+}
+
+}  // namespace
+
+bool entry_services::is_ready() const {
+    const std::lock_guard lock(configuration_mutex_);
+    return accepted_.declared != nullptr && !is_leaving_.load();
+}
+
+// ---------------------------------------------------------------------------------------------
+// Configuration
+
+void entry_services::refresh_configuration() {
+    config_version held;
+    {
+        const std::lock_guard lock(configuration_mutex_);
+        held = accepted_.version;
+    }
+    try {
+        const auto newer = configurations_.read_newer(held);
+        is_store_available_.store(true);
+        if (newer.declared) {
+            accept_configuration(newer);
+        }
+    } catch (const error& failure) {
+        is_store_available_.store(false);
+        log_event(log_level::warning, "configuration_not_read",
+                  {{"code", failure.code()}, {"message", failure.what()}});
+        fetch_configuration_from_entries();
+    }
+}
+
+void entry_services::fetch_configuration_from_entries() {
+    std::vector<entry_info> others;
+    {
+        const std::lock_guard lock(control_mutex_);
+        others = entries_known_.live(time_.now());
+    }
+    for (const auto& other : others) {
+        if (other.id == self_.id) {
+            continue;
+        }
+        try {
+            auto row = decode<configuration_row>(
+                control_rpc_.call(other.control, "entry.config", "{}",
+                                  deadline::after(time_.now(), control_call_timeout)));
+            if (row.version.value() != 0) {
+                accept_configuration(parse_row(std::move(row)));
+            }
+        } catch (const error&) {
+            // The next entry may answer.
+        }
+    }
+}
+
+void entry_services::accept_configuration(const accepted_configuration& accepted) {
+    {
+        const std::lock_guard lock(configuration_mutex_);
+        if (accepted.version <= accepted_.version) {
+            return;
+        }
+        accepted_ = accepted;
+        // Published under the lock, so that two versions cannot overtake each other.
+        requests_.set_configuration(*accepted.declared);
+    }
+    {
+        const std::lock_guard lock(control_mutex_);
+        scheduler_.set_configuration(accepted.declared, accepted.version);
+        declared_submitted_.clear();
+    }
+    metrics()
+        .gauge_of(metric::configuration_version)
+        .set(static_cast<std::int64_t>(accepted.version.value()));
+    publish_routes();
+    log_event(log_level::info, "configuration_in_force",
+              {{"version", accepted.version}, {"changed_by", accepted.row.changed_by}});
+}
+
+// ---------------------------------------------------------------------------------------------
+// Membership
+
+void entry_services::refresh_entries() {
+    const table_row own{entry_key(self_.id), encode(self_), row_version()};
+    const auto rows = scan_all(table_, "entry/");
+    const auto found = std::find_if(rows.begin(), rows.end(),
+                                    [&](const table_row& row) { return row.key == own.key; });
+    if (!is_leaving_.load() && (found == rows.end() || found->value != own.value)) {
+        (void)table_.commit({{}, {{own.key, own.value}}, {}});
+    }
+    std::vector<entry_info> registered;
+    for (const auto& row : rows) {
+        registered.push_back(decode<entry_info>(row.value));
+    }
+    const std::lock_guard lock(control_mutex_);
+    entries_known_.note_registered(registered, time_.now());
+}
+
+void entry_services::run_membership() {
+    std::vector<entry_info> others;
+    {
+        const std::lock_guard lock(control_mutex_);
+        const instant now = time_.now();
+        for (const auto& worker : targets_known_.expire(now)) {
+            log_event(log_level::warning, "agent_silent", {{"worker", worker}});
+        }
+        local_state local{self_, scheduler_.configured(), scheduler_.partitions(),
+                          scheduler_.usage(), is_leaving_.load()};
+        targets_known_.note_local(std::move(local));
+        scheduler_.set_live_entries(entries_known_.live(now));
+        std::vector<partition_summary> partitions;
+        std::vector<team_usage> usage;
+        for (const auto& digest : targets_known_.entry_digests(now)) {
+            partitions.insert(partitions.end(), digest.partitions.begin(), digest.partitions.end());
+            usage.insert(usage.end(), digest.usage.begin(), digest.usage.end());
+        }
+        scheduler_.set_remote_partitions(std::move(partitions), std::move(usage));
+        std::vector<worker_contact> contacts;
+        for (const auto& known : targets_known_.targets(now)) {
+            contacts.push_back({known.worker, known.control});
+        }
+        scheduler_.set_known_workers(std::move(contacts));
+        others = entries_known_.all();
+    }
+    for (const auto& other : others) {
+        if (other.id != self_.id) {
+            (void)control_calls_.try_run([this, other] { send_digest(other); });
+        }
+    }
+    publish_routes();
+}
+
+void entry_services::send_digest(const entry_info& to) {
+    entry_digest digest;
+    {
+        const std::lock_guard lock(control_mutex_);
+        digest = targets_known_.make_digest(to.id);
+    }
+    try {
+        const auto reply = control_rpc_.call_typed<digest_reply>(
+            to.control, "entry.digest", digest, deadline::after(time_.now(), control_call_timeout));
+        const std::lock_guard lock(control_mutex_);
+        targets_known_.note_reply(to.id, reply);
+    } catch (const error& failure) {
+        log_event(log_level::warning, "digest_failed",
+                  {{"entry", to.id}, {"code", failure.code()}, {"message", failure.what()}});
+        const std::lock_guard lock(control_mutex_);
+        entries_known_.note_unreachable(to.id, time_.now());
+    }
+}
+
+void entry_services::publish_routes() {
+    std::shared_ptr<const configuration> declared;
+    {
+        const std::lock_guard lock(configuration_mutex_);
+        declared = accepted_.declared;
+    }
+    if (!declared) {
+        return;
+    }
+    const std::lock_guard lock(control_mutex_);
+    std::vector<route_target> routes;
+    std::map<service_id, std::uint32_t> slots;
+    for (const auto& known : targets_known_.targets(time_.now())) {
+        routes.push_back(to_route(known, *declared));
+        if (routes.back().accepts) {
+            slots[routes.back().service] += routes.back().slots;
+        }
+    }
+    if (!std::equal(routes.begin(), routes.end(), published_.begin(), published_.end(),
+                    is_same_route)) {
+        published_ = routes;
+        targets_.replace(std::move(routes));
+    }
+    requests_.set_slots(slots);
+}
+
+void entry_services::notify_entries(const entry_notice& notice) {
+    std::vector<entry_info> others;
+    {
+        const std::lock_guard lock(control_mutex_);
+        others = entries_known_.live(time_.now());
+    }
+    for (const auto& other : others) {
+        if (other.id == self_.id) {
+            continue;
+        }
+        (void)control_calls_.try_run([this, other, notice] {
+            try {
+                (void)control_rpc_.call(other.control, "entry.notify", encode(notice),
+                                        deadline::after(time_.now(), control_call_timeout));
+            } catch (const error&) {
+                // The other entry finds the change with its next poll.
+            }
+        });
+    }
+}
+
+// ---------------------------------------------------------------------------------------------
+// Scheduling
+
+void entry_services::run_scheduler() {
+    tick_result due;
+    {
+        const std::lock_guard lock(control_mutex_);
+        due = scheduler_.tick();
+    }
+    make_calls(due);
+    if (!due.changed_shards.empty()) {
+        notify_entries({config_version(), due.changed_shards});
+    }
+    if (!is_leaving_.load()) {
+        submit_declared_jobs();
+    }
+    publish_routes();
+}
+
+void entry_services::make_calls(const tick_result& due) {
+    const auto call = [this](const endpoint& to, const std::string& method,
+                             const std::string& params) {
+        (void)control_calls_.try_run([this, to, method, params] {
+            try {
+                (void)control_rpc_.call(to, method, params,
+                                        deadline::after(time_.now(), control_call_timeout));
+            } catch (const error&) {
+                // The agent syncs by itself at its next interval.
+            }
+        });
+    };
+    for (const auto& worker : due.wakes) {
+        call(worker.control, "agent.wake", "{}");
+    }
+    for (const auto& query : due.inventories) {
+        call(query.contact.control, "agent.inventory",
+             "{\"epoch\":" + std::to_string(query.epoch.value()) + ",\"from\":\"" +
+                 to_string(self_.control) + "\"}");
+    }
+}
+
+void entry_services::submit_declared_jobs() {
+    std::shared_ptr<const configuration> declared;
+    {
+        const std::lock_guard lock(configuration_mutex_);
+        declared = accepted_.declared;
+    }
+    if (!declared) {
+        return;
+    }
+    for (const auto& job : declared->jobs) {
+        const std::lock_guard lock(control_mutex_);
+        const auto home = partition_of(job.id.value(), settings_.scheduler.partition_count);
+        if (declared_submitted_.contains(job.id) || !scheduler_.owns(home)) {
+            continue;
+        }
+        const submit_result result = scheduler_.submit(job, true);
+        if (result.code == result_code::store_unavailable ||
+            result.code == result_code::store_outcome_unknown ||
+            result.code == result_code::overloaded) {
+            return;
+        }
+        if (result.code == result_code::job_can_never_run) {
+            // Workers may still announce themselves; the next tick tries again.
+            continue;
+        }
+        declared_submitted_.insert(job.id);
+        if (result.code != result_code::ok) {
+            log_event(log_level::warning, "declared_job_refused",
+                      {{"job", job.id}, {"code", result.code}});
+        }
+    }
+    cancel_undeclared_jobs();
+}
+
+void entry_services::cancel_undeclared_jobs() {
+    std::shared_ptr<const configuration> declared;
+    config_version version;
+    {
+        const std::lock_guard lock(configuration_mutex_);
+        declared = accepted_.declared;
+        version = accepted_.version;
+    }
+    const std::lock_guard lock(control_mutex_);
+    if (!scheduler_.owns(partition_number(0)) || checked_declarations_ == version) {
+        return;
+    }
+    std::set<job_id> present;
+    for (const auto& job : declared->jobs) {
+        present.insert(job.id);
+    }
+    job_id after;
+    std::vector<job_id> removed;
+    while (true) {
+        const auto page = scheduler_.list_jobs(after, job_page_size);
+        for (const auto& row : page) {
+            if (row.is_declared && row.state == job_state::active &&
+                !present.contains(row.declaration.id)) {
+                removed.push_back(row.declaration.id);
+            }
+        }
+        if (page.size() < job_page_size) {
+            break;
+        }
+        after = page.back().declaration.id;
+    }
+    const auto results = scheduler_.cancel_many(removed);
+    const bool is_complete =
+        std::all_of(results.begin(), results.end(),
+                    [](const cancel_result& item) { return item.code == result_code::ok; });
+    if (is_complete) {
+        checked_declarations_ = version;
+    }
+}
+
+}  // namespace tanagerpaddle
--- a/libs/rpc/src/http_server.cpp
+++ b/libs/rpc/src/http_server.cpp
@@ -23,15 +23,12 @@
 // True in the thread that answers connections beyond the bound.
 thread_local bool is_refusing = false;
 
-// One thread for each connection up to the bound; one more thread refuses the others, so that
-// they get an answer at once however long the served connections last.
+// One thread for each connection up to the bound, started when first needed; one more thread
+// refuses the others, so that they get an answer at once however long the served ones last.
 class bounded_connections final : public httplib::TaskQueue {
 public:
     bounded_connections(std::size_t bound, std::atomic<std::uint64_t>& refused)
         : bound_(bound), refused_(refused) {
-        for (std::size_t i = 0; i < bound; ++i) {
-            threads_.emplace_back([this] { run(served_); });
-        }
         threads_.emplace_back([this] {
             is_refusing = true;
             run(overflow_);
@@ -40,16 +37,19 @@
 
     void enqueue(std::function<void()> serve) override {
         const std::lock_guard lock(mutex_);
-        if (open_ < bound_) {
+        if (open_ >= bound_) {
+            refused_.fetch_add(1, std::memory_order_relaxed);
+            overflow_.push_back(std::move(serve));
+        } else {
             ++open_;
+            if (threads_.size() <= open_) {
+                threads_.emplace_back([this] { run(served_); });
+            }
             served_.push_back([this, serve = std::move(serve)] {
                 serve();
                 const std::lock_guard guard(mutex_);
                 --open_;
             });
-        } else {
-            refused_.fetch_add(1, std::memory_order_relaxed);
-            overflow_.push_back(std::move(serve));
         }
         changed_.notify_all();
     }
