platform: add the HTTP client of the worker's runtime

Cause: Agents control the tasks of their worker through its runtime, which is another process. Change: http_worker_runtime implements worker_runtime. Each call carries the time when it was sent by the boot clock of the shared machine, so that a start that waited in a socket while the runtime was frozen is refused after its permit or lease, and leases count from the send.

--- a/libs/platform/include/tanagerpaddle/platform.hpp
+++ b/libs/platform/include/tanagerpaddle/platform.hpp
@@ -11,6 +11,8 @@
 #include <vector>
 
 #include "tanagerpaddle/core.hpp"
+#include "tanagerpaddle/protocol.hpp"
+#include "tanagerpaddle/scheduling.hpp"
 #include "tanagerpaddle/store.hpp"
 
 namespace tanagerpaddle {
@@ -65,4 +67,34 @@
     std::unique_ptr<http_client_pool> clients_;
 };
 
+// The runtime of the worker beside this process. Thread-safe. Every call carries the time when it
+// was sent, by the boot clock that both processes on the machine share: leases count from it, and
+// the runtime refuses a start that reaches it after the permit or the lease has ended.
+// Throws error(connection_refused) if nothing was sent, error(outcome_unknown) if the answer is
+// lost or late, and otherwise the code that the runtime answered: overloaded (resources exceeded,
+// if the runtime checks them, or too many calls), unknown_job (no such attempt),
+// deadline_exceeded_not_run (permit ended), duplicate_request (the attempt has ended already),
+// store_unavailable (checkpoint not readable or not written), malformed_request, and
+// outcome_unknown if it cannot tell.
+// Repeating renew, pause, throttle, stop, forget, or start of an attempt that runs, is harmless.
+class http_worker_runtime final : public worker_runtime {
+public:
+    explicit http_worker_runtime(const platform_client_options& options);
+    ~http_worker_runtime() override;
+
+    [[nodiscard]] std::vector<runtime_task> list() override;
+    void start(const start_permit& permit, std::int64_t lease_ms) override;
+    void renew(const std::vector<task_attempt>& attempts, std::int64_t lease_ms) override;
+    void pause(const task_attempt& attempt) override;
+    void resume(const task_attempt& attempt, std::int64_t lease_ms) override;
+    std::string checkpoint(const task_attempt& attempt) override;
+    void throttle(const task_attempt& attempt, std::uint32_t speed_percent) override;
+    void stop(const task_attempt& attempt) override;
+    void forget(const task_attempt& attempt) override;
+
+private:
+    std::unique_ptr<http_client_pool> clients_;
+    system_clock time_;
+};
+
 }  // namespace tanagerpaddle
--- /dev/null
+++ b/libs/platform/src/http_worker_runtime.cpp
@@ -0,0 +1,175 @@
+#include <nlohmann/json.hpp>
+
+#include "http_client_pool.hpp"
+
+namespace tanagerpaddle {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view service_name = "worker runtime";
+constexpr int status_ok = 200;
+
+json to_json(const task_attempt& attempt) {
+    return {{"job", attempt.task.job.value()},
+            {"index", attempt.task.index},
+            {"attempt", attempt.attempt.value()}};
+}
+
+json about(const task_attempt& attempt) {
+    return {{"task", to_json(attempt)}};
+}
+
+json to_json(const start_permit& permit) {
+    return {{"task", to_json(permit.attempt)},
+            {"kind", permit.kind == job_kind::hold ? "hold" : "batch"},
+            {"demand",
+             {{"processors", permit.demand.processors.value()},
+              {"memory", permit.demand.memory.value()},
+              {"accelerators", permit.demand.accelerators.value()}}},
+            {"valid_ms", permit.valid_ms},
+            {"run_time_ms", permit.run_time_ms},
+            {"command", permit.command},
+            {"checkpoint", permit.checkpoint},
+            {"can_checkpoint", permit.can_checkpoint}};
+}
+
+runtime_task_state state_from_name(const std::string& text) {
+    if (text == "running") {
+        return runtime_task_state::running;
+    }
+    if (text == "paused") {
+        return runtime_task_state::paused;
+    }
+    if (text == "finished") {
+        return runtime_task_state::finished;
+    }
+    if (text == "failed") {
+        return runtime_task_state::failed;
+    }
+    throw error(result_code::outcome_unknown, "unknown task state " + text);
+}
+
+runtime_task decode_task(const json& message) {
+    runtime_task task;
+    const json& id = message.at("task");
+    task.attempt.task.job = job_id(id.at("job").get<std::string>());
+    task.attempt.task.index = id.at("index").get<std::uint32_t>();
+    task.attempt.attempt = attempt_number(id.at("attempt").get<std::uint32_t>());
+    task.state = state_from_name(message.at("state").get<std::string>());
+    const json& demand = message.at("demand");
+    task.demand.processors = millicores(demand.at("processors").get<std::int64_t>());
+    task.demand.memory = mebibytes(demand.at("memory").get<std::int64_t>());
+    task.demand.accelerators = accelerator_count(demand.at("accelerators").get<std::int64_t>());
+    message.at("progress").get_to(task.progress);
+    message.at("checkpoint").get_to(task.checkpoint);
+    task.used_processors = millicores(message.at("used_processors").get<std::int64_t>());
+    message.at("run_ms").get_to(task.run_ms);
+    message.at("speed_percent").get_to(task.speed_percent);
+    return task;
+}
+
+// Throws the code that the runtime named; outcome_unknown if it named none.
+[[noreturn]] void throw_answered_error(const http_client_pool& clients, const call_result& result) {
+    const json body = json::parse(result.body, nullptr, false);
+    if (!body.is_object() || !body.contains("code") || !body["code"].is_number_integer()) {
+        throw error(result_code::outcome_unknown, describe(service_name, clients, result));
+    }
+    const auto code = result_code_from_number(body["code"].get<int>());
+    // The interface knows one code for an effect that is not certain.
+    const bool is_uncertain =
+        code == result_code::internal_error || code == result_code::store_outcome_unknown;
+    throw error(is_uncertain ? result_code::outcome_unknown : code,
+                describe(service_name, clients, result) + ": " + body.value("message", ""));
+}
+
+json call(http_client_pool& clients, const clock& time, const std::string& operation,
+          json message) {
+    message["sent_at_ns"] = time.now().time_since_epoch().count();
+    http_call request;
+    request.path = "/runtime/" + operation;
+    request.body = message.dump();
+    const call_result result = clients.call(request);
+    if (result.outcome == call_outcome::not_sent) {
+        throw error(result_code::connection_refused, describe(service_name, clients, result));
+    }
+    if (result.outcome == call_outcome::unknown) {
+        throw error(result_code::outcome_unknown, describe(service_name, clients, result));
+    }
+    if (result.status != status_ok) {
+        throw_answered_error(clients, result);
+    }
+    json answer = json::parse(result.body, nullptr, false);
+    if (!answer.is_object()) {
+        throw error(result_code::outcome_unknown, "unreadable answer of the worker runtime");
+    }
+    return answer;
+}
+
+}  // namespace
+
+http_worker_runtime::http_worker_runtime(const platform_client_options& options)
+    : clients_(std::make_unique<http_client_pool>(options)) {}
+
+http_worker_runtime::~http_worker_runtime() = default;
+
+std::vector<runtime_task> http_worker_runtime::list() {
+    const json answer = call(*clients_, time_, "list", json::object());
+    try {
+        std::vector<runtime_task> tasks;
+        for (const auto& task : answer.at("tasks")) {
+            tasks.push_back(decode_task(task));
+        }
+        return tasks;
+    } catch (const json::exception& failure) {
+        throw error(result_code::outcome_unknown, failure.what());
+    }
+}
+
+void http_worker_runtime::start(const start_permit& permit, std::int64_t lease_ms) {
+    (void)call(*clients_, time_, "start", {{"permit", to_json(permit)}, {"lease_ms", lease_ms}});
+}
+
+void http_worker_runtime::renew(const std::vector<task_attempt>& attempts, std::int64_t lease_ms) {
+    json tasks = json::array();
+    for (const auto& attempt : attempts) {
+        tasks.push_back(to_json(attempt));
+    }
+    (void)call(*clients_, time_, "renew", {{"tasks", std::move(tasks)}, {"lease_ms", lease_ms}});
+}
+
+void http_worker_runtime::pause(const task_attempt& attempt) {
+    (void)call(*clients_, time_, "pause", about(attempt));
+}
+
+void http_worker_runtime::resume(const task_attempt& attempt, std::int64_t lease_ms) {
+    json message = about(attempt);
+    message["lease_ms"] = lease_ms;
+    (void)call(*clients_, time_, "resume", std::move(message));
+}
+
+std::string http_worker_runtime::checkpoint(const task_attempt& attempt) {
+    const json answer = call(*clients_, time_, "checkpoint", about(attempt));
+    const auto key = answer.find("checkpoint");
+    if (key == answer.end() || !key->is_string()) {
+        throw error(result_code::outcome_unknown, "unreadable answer of the worker runtime");
+    }
+    return key->get<std::string>();
+}
+
+void http_worker_runtime::throttle(const task_attempt& attempt, std::uint32_t speed_percent) {
+    json message = about(attempt);
+    message["speed_percent"] = speed_percent;
+    (void)call(*clients_, time_, "throttle", std::move(message));
+}
+
+void http_worker_runtime::stop(const task_attempt& attempt) {
+    (void)call(*clients_, time_, "stop", about(attempt));
+}
+
+void http_worker_runtime::forget(const task_attempt& attempt) {
+    (void)call(*clients_, time_, "forget", about(attempt));
+}
+
+}  // namespace tanagerpaddle
