platform stand-in: test concurrent increments and a restart of the platform

Cause: Lost answers under concurrency and a restarted platform were not covered. Change: Two tests; the idle timeout of the stand-ins' server is an option, since a server waits for its idle connections when it is destroyed.

--- a/apps/platform_standin/tests/http_table_test.cpp
+++ b/apps/platform_standin/tests/http_table_test.cpp
@@ -1,6 +1,9 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <chrono>
+#include <memory>
+#include <thread>
 
 #include "platform_service.hpp"
 #include "tanagerpaddle/platform.hpp"
@@ -157,6 +160,66 @@
     first.join();
 }
 
+// Owners depend on conditions alone to keep each other's writes, also when answers are lost.
+TEST_CASE_FIXTURE(platform_fixture, "concurrent conditional increments lose and repeat none") {
+    constexpr int writers = 4;
+    constexpr int increments = 25;
+    service.change_faults({{"lost_answer", 0.1}, {"lost_request", 0.1}});
+    http_table rows(options());
+    const auto add_one = [&rows](const std::string& mark) {
+        while (true) {
+            try {
+                const auto row = rows.read("sum");
+                if (row && row->value.find(mark) != std::string::npos) {
+                    return;
+                }
+                const std::string value = (row ? row->value : "") + mark;
+                const row_version expected = row ? row->version : row_version();
+                if (rows.commit({{{"sum", expected}}, {{"sum", value}}, {}}).committed) {
+                    return;
+                }
+            } catch (const error&) {
+                // The mark in the row decides.
+            }
+        }
+    };
+    std::vector<std::thread> threads;
+    for (int writer = 0; writer < writers; ++writer) {
+        threads.emplace_back([&add_one, writer] {
+            for (int i = 0; i < increments; ++i) {
+                add_one("<" + std::to_string(writer) + ":" + std::to_string(i) + ">");
+            }
+        });
+    }
+    for (auto& thread : threads) {
+        thread.join();
+    }
+    service.change_faults({{"lost_answer", 0.0}, {"lost_request", 0.0}});
+    const std::string sum = rows.read("sum")->value;
+    INFO(sum);
+    CHECK(std::count(sum.begin(), sum.end(), '<') == writers * increments);
+}
+
+// A platform that was replaced must not look like an outage to the reads that follow.
+TEST_CASE("reads go on over new connections after the platform was restarted") {
+    const system_clock time;
+    standin::platform_service service(time, {}, 1);
+    platform_client_options options;
+    const standin::server_options any_port{"127.0.0.1", 0, 16, std::chrono::seconds(1)};
+    auto first = std::make_unique<standin::server>(any_port);
+    service.add_routes(*first);
+    first->start();
+    options.port = first->port();
+    http_table rows(options);
+    CHECK_FALSE(rows.read("a").has_value());
+    first->stop();
+    first.reset();
+    standin::server second({"127.0.0.1", options.port, 16, std::chrono::seconds(1)});
+    service.add_routes(second);
+    second.start();
+    CHECK(code_of([&] { (void)rows.read("a"); }) == result_code::ok);
+}
+
 // A connection beyond the bound must get an answer rather than wait for a free thread.
 TEST_CASE("a connection beyond the limit is answered at once") {
     const system_clock time;
--- a/apps/standin_common/standin_server.cpp
+++ b/apps/standin_common/standin_server.cpp
@@ -19,8 +19,6 @@
 constexpr int status_internal = 500;
 constexpr int status_unavailable = 503;
 
-// Clients of the platform library replace a connection that was idle for 4 s.
-constexpr time_t idle_timeout_s = 8;
 constexpr std::size_t max_requests_per_connection = 100'000'000;
 constexpr std::size_t max_body_bytes = 64U << 20U;
 // Threads that answer connections beyond the limit.
@@ -123,7 +121,7 @@
 server::server(const server_options& options) {
     http_.set_tcp_nodelay(true);
     http_.set_socket_options(set_listen_options);
-    http_.set_keep_alive_timeout(idle_timeout_s);
+    http_.set_keep_alive_timeout(options.idle_timeout.count());
     http_.set_keep_alive_max_count(max_requests_per_connection);
     http_.set_payload_max_length(max_body_bytes);
     const std::size_t limit = options.connections;
--- a/apps/standin_common/standin_server.hpp
+++ b/apps/standin_common/standin_server.hpp
@@ -5,6 +5,7 @@
 #include <httplib.h>
 
 #include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <nlohmann/json.hpp>
@@ -21,6 +22,9 @@
     std::uint16_t port = 0;
     // Connections served at a time, one thread each; a request on another one is answered 503.
     std::size_t connections = 64;
+    // Idle connections are closed after this. Clients of the platform library replace a connection
+    // that was idle for 4 s.
+    std::chrono::seconds idle_timeout{8};
 };
 
 // Binds at construction and throws error(internal_error) if it cannot. Routes are added before
@@ -31,7 +35,7 @@
     using json_handler = std::function<nlohmann::json(const nlohmann::json&)>;
 
     explicit server(const server_options& options);
-    // Stops and waits for the connections to close.
+    // Stops and waits for the connections to close; idle ones do so at the idle timeout.
     ~server();
     server(const server&) = delete;
     server& operator=(const server&) = delete;
