Bound a start at the worker's runtime by what remains of its permit

Cause: the agent passed the whole permit to the runtime, so a start that waited in the socket of a frozen runtime could take effect up to twice the window after its claim.

--- a/libs/platform/include/tanagerpaddle/platform.hpp
+++ b/libs/platform/include/tanagerpaddle/platform.hpp
@@ -93,7 +93,7 @@
     void forget(const task_attempt& attempt) override;
 
 private:
-    std::unique_ptr<http_client_pool> clients_;
+    std::unique_ptr<platform_connections> clients_;
     system_clock time_;
 };
 
--- a/libs/platform/src/http_worker_runtime.cpp
+++ b/libs/platform/src/http_worker_runtime.cpp
@@ -1,6 +1,6 @@
 #include <nlohmann/json.hpp>
 
-#include "http_client_pool.hpp"
+#include "platform_connections.hpp"
 
 namespace tanagerpaddle {
 
@@ -71,7 +71,8 @@
 }
 
 // Throws the code that the runtime named; outcome_unknown if it named none.
-[[noreturn]] void throw_answered_error(const http_client_pool& clients, const call_result& result) {
+[[noreturn]] void throw_answered_error(const platform_connections& clients,
+                                       const call_result& result) {
     const json body = json::parse(result.body, nullptr, false);
     if (!body.is_object() || !body.contains("code") || !body["code"].is_number_integer()) {
         throw error(result_code::outcome_unknown, describe(service_name, clients, result));
@@ -84,10 +85,10 @@
                 describe(service_name, clients, result) + ": " + body.value("message", ""));
 }
 
-json call(http_client_pool& clients, const clock& time, const std::string& operation,
+json call(platform_connections& clients, const clock& time, const std::string& operation,
           json message) {
     message["sent_at_ns"] = time.now().time_since_epoch().count();
-    http_call request;
+    platform_call request;
     request.path = "/runtime/" + operation;
     request.body = message.dump();
     const call_result result = clients.call(request);
@@ -110,7 +111,7 @@
 }  // namespace
 
 http_worker_runtime::http_worker_runtime(const platform_client_options& options)
-    : clients_(std::make_unique<http_client_pool>(options)) {}
+    : clients_(std::make_unique<platform_connections>(options)) {}
 
 http_worker_runtime::~http_worker_runtime() = default;
 
--- a/libs/scheduling/src/agent_starts.cpp
+++ b/libs/scheduling/src/agent_starts.cpp
@@ -93,8 +93,14 @@
         add_report(permit.attempt, report_kind::refused, result_code::deadline_exceeded_not_run);
         return;
     }
+    start_permit bounded = permit;
+    if (options.mechanisms.check_permit_window) {
+        // The runtime counts from this call, which may wait in its socket while it is frozen.
+        const auto end = requested_at + milliseconds(permit.valid_ms);
+        bounded.valid_ms = std::chrono::duration_cast<milliseconds>(end - time.now()).count();
+    }
     try {
-        runtime.start(permit, lease);
+        runtime.start(bounded, lease);
     } catch (const error& failure) {
         if (means_not_run(failure.code())) {
             ledger.release(key);
