Add fuzz targets and bound the values of a configuration document

Cause: configurations, settings and control messages come from outside; a list of many short values used memory out of proportion to its text.

--- /dev/null
+++ b/fuzz/configuration_yaml.cpp
@@ -0,0 +1,24 @@
+// Any text is either rejected with a numbered error or gives a configuration that, if it is valid,
+// survives printing and parsing unchanged.
+
+#include "tanagerpaddle/config.hpp"
+
+using namespace tanagerpaddle;
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+    configuration declared;
+    try {
+        declared = from_yaml({reinterpret_cast<const char*>(data), size}, "fuzz");
+    } catch (const error& e) {
+        check_invariant(e.code() == result_code::invalid_configuration, e.what());
+        return 0;
+    }
+    check_invariant(diff(declared, {}).size() >= diff(declared, declared).size(),
+                    "a configuration differs more from nothing than from itself");
+    if (validate(declared).empty()) {
+        const std::string text = to_yaml(declared);
+        check_invariant(from_yaml(text, "printed") == declared, "the round trip is exact: " + text);
+        check_invariant(diff(declared, declared).empty(), "no difference from itself: " + text);
+    }
+    return 0;
+}
--- a/libs/config/include/tanagerpaddle/config.hpp
+++ b/libs/config/include/tanagerpaddle/config.hpp
@@ -127,9 +127,11 @@
 inline constexpr std::size_t teams = 1'000;
 inline constexpr std::size_t services = 1'000;
 inline constexpr std::size_t methods = 256;
-inline constexpr std::size_t jobs = 10'000;
-// Size of the YAML text and depth of its nesting.
+inline constexpr std::size_t jobs = 5'000;
+// Size of the YAML text, number of its values and keys, and depth of its nesting. A document within
+// them holds `jobs` jobs; parsing takes some hundred bytes of memory for each value.
 inline constexpr std::size_t document_bytes = 4'194'304;
+inline constexpr std::size_t document_values = 200'000;
 inline constexpr std::size_t document_depth = 16;
 }  // namespace configuration_limits
 
--- a/libs/config/src/yaml.cpp
+++ b/libs/config/src/yaml.cpp
@@ -31,7 +31,7 @@
 }
 
 // Rejects what a configuration never contains before a tree is built from it: further documents,
-// anchors and aliases, and deep nesting.
+// anchors and aliases, deep nesting and too many values.
 class document_guard final : public YAML::EventHandler {
 public:
     explicit document_guard(const std::string& source) : source_(source) {}
@@ -60,7 +60,12 @@
     void OnMapEnd() override { --depth_; }
 
 private:
-    void check(const YAML::Mark& mark, YAML::anchor_t anchor) const {
+    void check(const YAML::Mark& mark, YAML::anchor_t anchor) {
+        if (++values_ > configuration_limits::document_values) {
+            reject_document(
+                source_, mark.line + 1, "value number " + std::to_string(values_),
+                "at most " + std::to_string(configuration_limits::document_values) + " values");
+        }
         if (anchor != 0) {
             reject_document(source_, mark.line + 1, "an anchor or alias", "plain values");
         }
@@ -76,6 +81,7 @@
 
     const std::string& source_;
     std::size_t depth_ = 0;
+    std::size_t values_ = 0;
     std::size_t documents_ = 0;
 };
 
--- a/libs/config/tests/yaml_test.cpp
+++ b/libs/config/tests/yaml_test.cpp
@@ -104,6 +104,24 @@
               .find("at most 16 levels") != std::string::npos);
     const std::string large(configuration_limits::document_bytes + 1, ' ');
     CHECK(rejection(large).find("at most 4194304 bytes") != std::string::npos);
+    std::string many = "drains: [a";
+    for (int i = 0; i < 300'000; ++i) {
+        many += ",a";
+    }
+    CHECK(rejection(many + "]").find("at most 200000 values") != std::string::npos);
     CHECK(rejection(std::string("teams:\0x", 8)) != "accepted");
     CHECK(rejection("\xff\xfe\x00\x01") != "accepted");
 }
+
+// Limits that contradict each other would reject a configuration after it was accepted.
+TEST_CASE("a configuration with the largest number of jobs can be stored and read back") {
+    configuration declared = sample_builder().build();
+    declared.jobs.resize(configuration_limits::jobs, declared.jobs[0]);
+    for (std::size_t i = 0; i < declared.jobs.size(); ++i) {
+        declared.jobs[i].id = job_id("harvest-plan-" + std::to_string(i));
+    }
+    CHECK(validate(declared).empty());
+    const std::string text = to_yaml(declared);
+    INFO("printed ", text.size(), " bytes");
+    CHECK(from_yaml(text, "test") == declared);
+}
--- a/libs/telemetry/src/tracer.cpp
+++ b/libs/telemetry/src/tracer.cpp
@@ -87,8 +87,9 @@
     std::mutex mutex;
     random_source random;
     std::uint64_t reported_drops = 0;
-    std::shared_ptr<spdlog::details::thread_pool> pool;
     std::shared_ptr<spdlog::async_logger> logger;
+    // Destroyed first: its thread writes what is queued and ends before the logger and its file.
+    std::shared_ptr<spdlog::details::thread_pool> pool;
 };
 
 tracer::tracer(const trace_options& options, const clock& time)
