--- a/libs/settings/src/setting_table.cpp
+++ b/libs/settings/src/setting_table.cpp
@@ -197,7 +197,7 @@
         number_row("scheduler.worker_lease_s", scope::entry, "30", 1, 3'600, "s",
                    "Length of a worker's lease; at most the horizon.")),
     bind<&st::scheduler, &sched::permit_window>(
-        number_row("scheduler.permit_window_ms", scope::entry, "3000", 100, 10'000, "ms",
+        number_row("scheduler.permit_window_ms", scope::entry, "3000", 100, 5'000, "ms",
                    "Time after the claim in which a task may start.")),
     bind<&st::scheduler, &sched::sync_interval>(
         reloadable(number_row("scheduler.sync_interval_ms", scope::both, "2000", 100, 8'000, "ms",
--- a/libs/telemetry/include/tanagerpaddle/telemetry.hpp
+++ b/libs/telemetry/include/tanagerpaddle/telemetry.hpp
@@ -33,7 +33,8 @@
     std::string value;
 };
 
-// Value of a field of a log line or of a span attribute.
+// Value of a field of a log line or of a span attribute: a text, number, bool, strong id or number,
+// result code (as its number), secret, or duration (as its count; the field's name tells the unit).
 class field_value {
 public:
     using storage = std::variant<std::string, std::int64_t, std::uint64_t, double, bool, secret>;
@@ -56,6 +57,8 @@
             return std::uint64_t{value};
         } else if constexpr (std::is_integral_v<T>) {
             return std::int64_t{value};
+        } else if constexpr (requires { value.count(); }) {
+            return convert(value.count());
         } else if constexpr (requires { value.value(); }) {
             return convert(value.value());
         } else {
@@ -78,8 +81,9 @@
     log_level threshold = log_level::info;
     // Empty: standard error. The file is opened for appending.
     std::string file;
-    // Lines of one event name in each `window`; further ones are counted and reported in one line
-    // with the field "suppressed" when the window has passed. Errors are never held back.
+    // Lines of one level and event name in each `window`; further ones are counted and reported in
+    // one line with the field "suppressed": before the next line of that event after the window,
+    // or by flush().
     std::uint32_t lines_per_window = 100;
     milliseconds window{10'000};
 };
@@ -117,7 +121,8 @@
 void log_event(log_level level, std::string_view event, std::initializer_list<field> fields = {});
 // Changes the threshold of the process-wide log.
 void set_log_threshold(log_level threshold);
-// Writes pending counts of the process-wide log; call before exit.
+// Writes pending counts of the process-wide log; called every few seconds and before exit, it keeps
+// the counts of events that have stopped from being held back.
 void flush_log();
 
 // ---------------------------------------------------------------------------------------------
--- a/libs/telemetry/src/log.cpp
+++ b/libs/telemetry/src/log.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/sinks/stdout_sinks.h>
 
 #include <algorithm>
+#include <array>
 #include <nlohmann/json.hpp>
 
 #include "telemetry_internal.hpp"
@@ -13,6 +14,7 @@
 
 namespace {
 
+constexpr std::size_t log_level_count = 4;
 constexpr std::size_t max_log_text_bytes = 8'192;
 // Event names are a small fixed set; a caller that passes generated names shares one budget.
 constexpr std::size_t max_limited_events = 1'024;
@@ -88,10 +90,11 @@
     // count of lines that the event's last window held back.
     bool admit(log_level level, std::string_view event, std::uint64_t& ended) {
         const std::lock_guard lock(mutex);
-        auto found = windows.find(event);
-        if (found == windows.end()) {
-            const std::string key(windows.size() < max_limited_events ? event : "other");
-            found = windows.try_emplace(key).first;
+        auto& level_windows = windows.at(static_cast<std::size_t>(level));
+        auto found = level_windows.find(event);
+        if (found == level_windows.end()) {
+            const std::string key(level_windows.size() < max_limited_events ? event : "other");
+            found = level_windows.try_emplace(key).first;
         }
         auto& current = found->second;
         const instant now = time.now();
@@ -99,7 +102,7 @@
             ended = current.suppressed;
             current = {now + options.window, 0, 0};
         }
-        if (level == log_level::error || current.written < options.lines_per_window) {
+        if (current.written < options.lines_per_window) {
             ++current.written;
             return true;
         }
@@ -112,7 +115,8 @@
     std::atomic<log_level> threshold;
     spdlog::logger logger;
     std::mutex mutex;
-    std::map<std::string, window, std::less<>> windows;
+    // By level, so that frequent warnings hold no error of the same event back.
+    std::array<std::map<std::string, window, std::less<>>, log_level_count> windows;
 };
 
 event_log::event_log(const log_options& options, const clock& time)
@@ -144,17 +148,19 @@
 }
 
 void event_log::flush() {
-    std::vector<std::pair<std::string, std::uint64_t>> pending;
-    {
-        const std::lock_guard lock(state_->mutex);
-        for (auto& [event, window] : state_->windows) {
-            if (window.suppressed > 0) {
-                pending.emplace_back(event, std::exchange(window.suppressed, 0));
+    for (std::size_t level = 0; level < log_level_count; ++level) {
+        std::vector<std::pair<std::string, std::uint64_t>> pending;
+        {
+            const std::lock_guard lock(state_->mutex);
+            for (auto& [event, window] : state_->windows.at(level)) {
+                if (window.suppressed > 0) {
+                    pending.emplace_back(event, std::exchange(window.suppressed, 0));
+                }
             }
         }
-    }
-    for (const auto& [event, count] : pending) {
-        state_->write(log_level::info, event, {}, count);
+        for (const auto& [event, count] : pending) {
+            state_->write(static_cast<log_level>(level), event, {}, count);
+        }
     }
     state_->logger.flush();
 }
--- a/libs/telemetry/src/tracer.cpp
+++ b/libs/telemetry/src/tracer.cpp
@@ -136,7 +136,8 @@
 
 void span::set(std::string_view name, field_value value) {
     // Spans that are not written keep no attributes.
-    if (context_.is_sampled && owner_ != nullptr && attributes_.size() < max_attributes) {
+    if (context_.is_sampled && owner_ != nullptr && owner_->state_->logger &&
+        attributes_.size() < max_attributes) {
         attributes_.emplace_back(name.substr(0, max_attribute_bytes), std::move(value));
     }
 }
