--- a/libs/scheduling/include/tanagerpaddle/scheduling.hpp
+++ b/libs/scheduling/include/tanagerpaddle/scheduling.hpp
@@ -269,7 +269,7 @@
     void set_remote_partitions(std::vector<partition_summary> partitions,
                                std::vector<team_usage> usage);
     // Agents known from membership, so that a new owner can ask them. Optional.
-    void set_known_workers(std::vector<worker_contact> workers);
+    void set_known_workers(const std::vector<worker_contact>& workers);
     // Replaces the declared run time. The estimator must outlive the scheduler.
     void set_estimator(run_time_estimator& estimator);
 
--- a/libs/scheduling/src/claims.cpp
+++ b/libs/scheduling/src/claims.cpp
@@ -126,22 +126,26 @@
 }
 
 void scheduler_state::note_unplaced(partition_state& p, const placement_plan& plan) {
-    std::set<std::string> placed;
-    for (const auto& task : plan.placed) {
-        placed.insert(group_key(p.number, task.job, task.index / tasks_per_group));
-        p.memory[{task.job, task.index}].reason.reset();
-    }
+    const auto group_of = [&](const job_id& job, std::uint32_t index) {
+        return p.groups.find(group_key(p.number, job, index / tasks_per_group));
+    };
     for (const auto& task : plan.unplaced) {
-        p.memory[{task.job, task.index}].reason = task.reason;
-        const auto group =
-            p.groups.find(group_key(p.number, task.job, task.index / tasks_per_group));
+        const auto group = group_of(task.job, task.index);
+        if (group == p.groups.end()) {
+            continue;
+        }
+        group->second.reason = task.reason;
         // A team over its quota would be so in any partition.
-        if (group != p.groups.end() && task.reason != unplaced_reason::over_quota) {
+        if (task.reason != unplaced_reason::over_quota) {
             group->second.unplaced_since = std::min(group->second.unplaced_since, now());
         }
     }
-    for (const auto& key : placed) {
-        p.groups.at(key).unplaced_since = instant::max();
+    for (const auto& task : plan.placed) {
+        const auto group = group_of(task.job, task.index);
+        if (group != p.groups.end()) {
+            group->second.unplaced_since = instant::max();
+            group->second.reason.reset();
+        }
     }
 }
 
@@ -175,6 +179,7 @@
     }
     const instant sent_at = now();
     const commit_attempt result = try_commit(transaction, priority, counts.claim_rows);
+    is_claim_refused = result.outcome == commit_outcome::over_budget;
     const bool may_be_committed =
         result.outcome == commit_outcome::committed || result.outcome == commit_outcome::unknown;
     for (const auto& [attempt, worker] : claimed) {
--- a/libs/scheduling/src/commits.cpp
+++ b/libs/scheduling/src/commits.cpp
@@ -204,6 +204,27 @@
     }
 }
 
+void scheduler_state::replace_groups(partition_state& p, const std::vector<table_row>& found) {
+    std::map<std::string, group_state> groups;
+    for (const auto& row : found) {
+        group_state group;
+        const auto before = p.groups.find(row.key);
+        if (before != p.groups.end()) {
+            group.unplaced_since = before->second.unplaced_since;
+            group.reason = before->second.reason;
+        }
+        // A group of an unchanged version is not decoded again: shards hold thousands of them.
+        if (before != p.groups.end() && before->second.version == row.version) {
+            group.row = std::move(before->second.row);
+        } else {
+            group.row = decode<group_row>(row.value);
+        }
+        group.version = row.version;
+        groups.emplace_hint(groups.end(), row.key, std::move(group));
+    }
+    p.groups = std::move(groups);
+}
+
 bool scheduler_state::rescan(partition_state& p) {
     std::vector<table_row> found;
     try {
@@ -224,18 +245,7 @@
         note_store_failure();
         return false;
     }
-    std::map<std::string, group_state> groups;
-    for (const auto& row : found) {
-        group_state group;
-        group.row = decode<group_row>(row.value);
-        group.version = row.version;
-        const auto before = p.groups.find(row.key);
-        if (before != p.groups.end()) {
-            group.unplaced_since = before->second.unplaced_since;
-        }
-        groups.emplace(row.key, std::move(group));
-    }
-    p.groups = std::move(groups);
+    replace_groups(p, found);
     p.is_loaded = true;
     p.needs_rescan = false;
     p.is_notified = false;
--- a/libs/scheduling/src/drains.cpp
+++ b/libs/scheduling/src/drains.cpp
@@ -32,12 +32,17 @@
         drop_settled_evictions(p);
         for (const auto& [key, group] : p.groups) {
             const job_declaration& job = group.row.declaration;
+            if (job.kind != job_kind::batch) {
+                continue;
+            }
             for (const auto& record : group.row.tasks) {
+                if (!is_active(record.state) || !is_drained(record.domain)) {
+                    continue;
+                }
                 const task_attempt attempt{{job.id, record.index}, record.attempt};
                 const auto worker = p.workers.find(record.worker);
-                if (job.kind == job_kind::batch && is_active(record.state) &&
-                    is_drained(record.domain) && !p.evictions.contains(attempt) &&
-                    worker != p.workers.end() && worker->second.held.contains(attempt)) {
+                if (!p.evictions.contains(attempt) && worker != p.workers.end() &&
+                    worker->second.held.contains(attempt)) {
                     candidates.push_back({job.complete_by, attempt, &p, record.worker});
                 }
             }
--- a/libs/scheduling/src/entry_scheduler.cpp
+++ b/libs/scheduling/src/entry_scheduler.cpp
@@ -80,9 +80,9 @@
     state_->remote_usage = std::move(usage);
 }
 
-void entry_scheduler::set_known_workers(std::vector<worker_contact> workers) {
+void entry_scheduler::set_known_workers(const std::vector<worker_contact>& workers) {
     state_->known_workers.clear();
-    for (auto& worker : workers) {
+    for (const auto& worker : workers) {
         state_->known_workers[worker.worker] = worker.control;
     }
 }
--- a/libs/scheduling/src/explain.cpp
+++ b/libs/scheduling/src/explain.cpp
@@ -79,15 +79,12 @@
     const auto known = p.memory.find(answer.task);
     if (record.state == task_state::pending) {
         answer.waits_for = wait_cause::planning;
-        if (known == p.memory.end()) {
-            return;
-        }
-        answer.reason = known->second.reason;
-        if (now() < known->second.retry_at) {
+        answer.reason = group.reason;
+        if (known != p.memory.end() && now() < known->second.retry_at) {
             answer.waits_for = wait_cause::retry_backoff;
         } else if (answer.reason) {
             answer.waits_for = wait_cause::placement;
-        } else if (group.unplaced_since == instant::max() && counts.budget_refusals > 0) {
+        } else if (is_claim_refused) {
             answer.waits_for = wait_cause::write_budget;
         }
         return;
@@ -148,6 +145,7 @@
         }
     }
     std::vector<team_usage> result;
+    result.reserve(used.size());
     for (const auto& [team, amount] : used) {
         result.push_back({team, amount});
     }
--- a/libs/scheduling/src/moves.cpp
+++ b/libs/scheduling/src/moves.cpp
@@ -18,43 +18,48 @@
 
 }  // namespace
 
-std::optional<partition_number> scheduler_state::partition_with_room(
-    const resources& demand, partition_number other_than) const {
-    std::vector<partition_summary> candidates = summaries();
+std::vector<partition_summary> scheduler_state::other_partitions(const partition_state& p) const {
+    std::vector<partition_summary> others;
+    if (partitions.size() > 1) {
+        others = summaries();
+    }
     for (const auto& remote : remote_partitions) {
         if (!owned(remote.partition)) {
-            candidates.push_back(remote);
-        }
-    }
-    std::optional<partition_number> best;
-    std::int64_t most_free = -1;
-    for (const auto& candidate : candidates) {
-        if (candidate.partition != other_than && demand.fits_in(candidate.largest_free) &&
-            candidate.free.processors.value() > most_free) {
-            best = candidate.partition;
-            most_free = candidate.free.processors.value();
+            others.push_back(remote);
         }
     }
-    return best;
+    std::erase_if(others, [&](const partition_summary& other) {
+        return other.partition == p.number || other.worker_count == 0;
+    });
+    std::sort(others.begin(), others.end(),
+              [](const partition_summary& a, const partition_summary& b) {
+                  return a.free.processors > b.free.processors;
+              });
+    return others;
 }
 
 void scheduler_state::move_groups(partition_state& p) {
-    std::vector<std::pair<std::string, partition_number>> moves;
+    std::vector<std::string> waiting;
     for (const auto& [key, group] : p.groups) {
-        if (moves.size() >= most_moves_per_tick) {
-            break;
+        if (group.unplaced_since != instant::max() && !group.is_uncertain &&
+            now() >= group.unplaced_since + options.move_after && is_all_pending(group.row)) {
+            waiting.push_back(key);
         }
-        if (group.unplaced_since == instant::max() || group.is_uncertain ||
-            now() < group.unplaced_since + options.move_after || !is_all_pending(group.row)) {
+    }
+    if (waiting.empty() || p.needs_rescan) {
+        return;
+    }
+    const std::vector<partition_summary> others = other_partitions(p);
+    std::size_t moved = 0;
+    for (const auto& key : waiting) {
+        const resources demand = p.groups.at(key).row.declaration.demand;
+        const auto target = std::find_if(
+            others.begin(), others.end(),
+            [&](const partition_summary& other) { return demand.fits_in(other.largest_free); });
+        if (target == others.end()) {
             continue;
         }
-        const auto target = partition_with_room(group.row.declaration.demand, p.number);
-        if (target) {
-            moves.emplace_back(key, *target);
-        }
-    }
-    for (const auto& [key, target] : moves) {
-        if (p.needs_rescan || !move_group(p, key, target)) {
+        if (!move_group(p, key, target->partition) || ++moved >= most_moves_per_tick) {
             return;
         }
     }
@@ -98,7 +103,7 @@
     note_decision(decision_kind::move, p.number, {{id, 0}, {}}, {},
                   "to partition " + std::to_string(target.value()) + ", which has room");
     if (partition_state* other = owned(target)) {
-        other->groups[target_key] = {group.row, result.version, false, instant::max()};
+        other->groups[target_key] = {group.row, result.version, false, instant::max(), {}};
     } else {
         changed_shards.insert(target);
     }
--- a/libs/scheduling/src/records.cpp
+++ b/libs/scheduling/src/records.cpp
@@ -48,29 +48,29 @@
     });
 }
 
-void scheduler_state::apply_report(partition_state& p, const received_report& received,
-                                   group_edits& edits) {
+bool scheduler_state::has_effect(const partition_state& p, const received_report& received) const {
     const task_report& report = received.report;
     const task_record* before = find_task(p, report.attempt.task);
-    if (!before || is_terminal(before->state)) {
-        return;
+    if (!before || is_terminal(before->state) || report.kind == report_kind::started) {
+        return false;
     }
     const bool is_current =
         before->attempt == report.attempt.attempt &&
         (before->worker == received.worker || before->state == task_state::pending);
-    if (options.mechanisms.check_report_attempt && !is_current) {
-        return;
-    }
     // A task that finished before its reclaimed attempt was claimed again need not run again.
     const bool is_late_finish =
         before->state == task_state::pending && report.kind == report_kind::finished;
-    if (!is_active(before->state) && !is_late_finish && options.mechanisms.check_report_attempt) {
+    return !options.mechanisms.check_report_attempt ||
+           (is_current && (is_active(before->state) || is_late_finish));
+}
+
+void scheduler_state::apply_report(partition_state& p, const received_report& received,
+                                   group_edits& edits) {
+    const task_report& report = received.report;
+    if (!has_effect(p, received)) {
         return;
     }
     const group_row& group = find_group(p, report.attempt.task)->row;
-    if (report.kind == report_kind::started) {
-        return;
-    }
     task_record& record = *edit_task(p, report.attempt.task, edits);
     worker_record* worker = nullptr;
     if (const auto found = p.workers.find(received.worker); found != p.workers.end()) {
--- a/libs/scheduling/src/scheduler_state.hpp
+++ b/libs/scheduling/src/scheduler_state.hpp
@@ -56,7 +56,6 @@
     double progress = 0;
     std::set<worker_id> avoided;
     instant retry_at;
-    std::optional<unplaced_reason> reason;
 };
 
 struct group_state {
@@ -66,6 +65,8 @@
     bool is_uncertain = false;
     // Since when no task of the group found room; max if that is not the case.
     instant unplaced_since = instant::max();
+    // Why the last plan left out a task of the group.
+    std::optional<unplaced_reason> reason;
 };
 
 struct received_report {
@@ -142,6 +143,7 @@
     [[nodiscard]] bool add_ended_groups(table_transaction& transaction,
                                         const std::vector<const group_row*>& ended);
     [[nodiscard]] bool rescan(partition_state& p);
+    static void replace_groups(partition_state& p, const std::vector<table_row>& found);
     // As table::read(); keeps account of failures.
     [[nodiscard]] std::optional<table_row> read_row(const std::string& key);
     void note_store_failure();
@@ -172,6 +174,8 @@
 
     // --- records.cpp
     void record_changes(partition_state& p);
+    // True if the report changes its task: the attempt is current and has not ended.
+    [[nodiscard]] bool has_effect(const partition_state& p, const received_report& received) const;
     void apply_report(partition_state& p, const received_report& received, group_edits& edits);
     void apply_failure(partition_state& p, const worker_id& worker, const task_report& report,
                        task_record& record, const group_row& group);
@@ -201,8 +205,8 @@
 
     // --- moves.cpp
     void move_groups(partition_state& p);
-    [[nodiscard]] std::optional<partition_number> partition_with_room(
-        const resources& demand, partition_number other_than) const;
+    // The partitions but `p` that have free workers, by their free processors.
+    [[nodiscard]] std::vector<partition_summary> other_partitions(const partition_state& p) const;
     [[nodiscard]] bool move_group(partition_state& p, const std::string& key,
                                   partition_number target);
 
@@ -210,6 +214,7 @@
     [[nodiscard]] submit_result submit(const job_declaration& job, bool is_declared);
     [[nodiscard]] std::vector<partition_number> partitions_for(const job_declaration& job) const;
     [[nodiscard]] bool can_run_somewhere(const job_declaration& job, resources& largest) const;
+    [[nodiscard]] submit_result commit_submission(const job_row& row, const group_edits& groups);
     [[nodiscard]] submit_result existing_job(const job_declaration& job);
     void note_submitted(const group_edits& groups, const std::vector<partition_number>& shards,
                         row_version written);
@@ -281,6 +286,8 @@
     instant observed_at = instant::min();
     instant released_at = instant::min();
     bool is_releasing = false;
+    // The write budget was too small for the last claims.
+    bool is_claim_refused = false;
     bool is_store_failing = false;
     // While the table fails, one call is tried at a time, so that a tick never waits for many.
     instant store_retry_at = instant::min();
--- a/libs/scheduling/src/submission.cpp
+++ b/libs/scheduling/src/submission.cpp
@@ -99,7 +99,6 @@
     row.group_count = (job.task_count + tasks_per_group - 1) / tasks_per_group;
     row.is_declared = is_declared;
     row.submitted_at = time.utc_now();
-    table_transaction transaction;
     group_edits groups;
     for (std::uint32_t k = 0; k < row.group_count; ++k) {
         const partition_number target = targets[k % targets.size()];
@@ -113,9 +112,16 @@
         for (std::uint32_t index = k * tasks_per_group; index < end; ++index) {
             group.tasks.emplace_back().index = index;
         }
-        const std::string key = group_key(target, job.id, k);
+        groups.emplace(group_key(target, job.id, k), std::move(group));
+    }
+    return commit_submission(row, groups);
+}
+
+submit_result scheduler_state::commit_submission(const job_row& row, const group_edits& groups) {
+    const job_declaration& job = row.declaration;
+    table_transaction transaction;
+    for (const auto& [key, group] : groups) {
         transaction.puts.push_back({key, encode(group)});
-        groups.emplace(key, std::move(group));
     }
     transaction.conditions.push_back({job_key(job.id), row_version()});
     transaction.puts.push_back({job_key(job.id), encode(row)});
@@ -165,7 +171,7 @@
     }
     for (const auto& [key, group] : groups) {
         if (partition_state* p = owned(shards.at(group.group))) {
-            p->groups[key] = {group, written, false, instant::max()};
+            p->groups[key] = {group, written, false, instant::max(), {}};
         }
     }
 }
