--- a/libs/routing/include/tanagerpaddle/routing.hpp
+++ b/libs/routing/include/tanagerpaddle/routing.hpp
@@ -96,6 +96,8 @@
     // After this time without a result, half of a target's latency and share of failures is
     // forgotten, so that a target that was slow or failing is tried again.
     nanoseconds latency_half_life = std::chrono::seconds(5);
+    // The same for the load that other entries put on a target, which changes faster.
+    nanoseconds load_half_life = milliseconds(500);
 };
 
 class target_pool;
--- a/libs/routing/include/tanagerpaddle/routing/strategies.hpp
+++ b/libs/routing/include/tanagerpaddle/routing/strategies.hpp
@@ -19,7 +19,9 @@
 
 // A candidate's state at the moment of a decision.
 struct target_load {
-    // False if excluded by the caller, ejected, leaving or at its limit.
+    // False if excluded by the caller, ejected or leaving.
+    bool is_usable = false;
+    // Usable and below its limit.
     bool is_available = false;
     // Requests of this entry that the target has not answered.
     std::uint32_t outstanding = 0;
@@ -59,7 +61,8 @@
     selection_strategy& operator=(const selection_strategy&) = delete;
     virtual ~selection_strategy() = default;
 
-    // The index of an available candidate; nothing only if none is available.
+    // The index of an available candidate; nothing if none is available or if the request should
+    // rather wait for one.
     [[nodiscard]] virtual std::optional<std::size_t> select(const candidate_list& candidates,
                                                             random_source& random) const = 0;
 };
@@ -76,7 +79,9 @@
 };
 
 // The cheaper of two random candidates by outstanding requests, reported load and latency; the own
-// failure domain first, others when its expected time is clearly higher.
+// failure domain first, others when its expected time is clearly higher. While usable targets of
+// the own failure domain are all at their limit, others are used only if they have a free slot:
+// under overload, failure domains that send each other requests gain nothing.
 class power_of_two_selection final : public selection_strategy {
 public:
     explicit power_of_two_selection(const power_of_two_options& options = {}) : options_(options) {}
--- a/libs/routing/src/acquire.cpp
+++ b/libs/routing/src/acquire.cpp
@@ -47,15 +47,16 @@
     const target_counters& counters = *entry.counters;
     target_load result;
     result.outstanding = counters.outstanding.load(std::memory_order_relaxed);
-    result.others_busy = counters.others_busy.load(std::memory_order_relaxed);
     result.slots = entry.target.slots;
-    result.is_available =
-        counters.health.load(std::memory_order_relaxed) == health_state::healthy &&
-        !counters.is_leaving(now_ns_) &&
-        result.outstanding + 1 <=
-            counters.effective_limit(now_ns_, pool_.options().outliers.slow_start) &&
-        !contains(excluded_, entry.target.id);
+    result.is_usable = counters.health.load(std::memory_order_relaxed) == health_state::healthy &&
+                       !counters.is_leaving(now_ns_) && !contains(excluded_, entry.target.id);
+    result.is_available = result.is_usable && result.outstanding + 1 <=
+                                                  counters.effective_limit(
+                                                      now_ns_, pool_.options().outliers.slow_start);
     if (result.is_available) {
+        result.others_busy = static_cast<std::uint32_t>(
+            std::lround(counters.others_busy.load(std::memory_order_relaxed) *
+                        counters.kept_share(now_ns_, pool_.options().load_half_life)));
         result.latency = decayed_latency(counters);
         result.failure_share = counters.failures() * kept_share(counters);
         result.base_latency = nanoseconds(counters.base_latency_ns.load(std::memory_order_relaxed));
--- a/libs/routing/src/selection.cpp
+++ b/libs/routing/src/selection.cpp
@@ -25,6 +25,15 @@
     return std::nullopt;
 }
 
+bool is_any_usable(const candidate_list& candidates, std::size_t count) {
+    for (std::size_t index = 0; index < count; ++index) {
+        if (candidates.load(index).is_usable) {
+            return true;
+        }
+    }
+    return false;
+}
+
 struct choice {
     std::size_t index = 0;
     target_load load;
@@ -86,10 +95,13 @@
         return local->index;
     }
     const auto remote = better_of_two(candidates, local_count, candidates.size(), random);
-    if (!local || !remote) {
-        return local    ? std::optional(local->index)
-               : remote ? std::optional(remote->index)
-                        : std::nullopt;
+    if (!remote) {
+        return local ? std::optional(local->index) : std::nullopt;
+    }
+    if (!local) {
+        const bool should_wait =
+            load_share(remote->load) > 1 && is_any_usable(candidates, local_count);
+        return should_wait ? std::nullopt : std::optional(remote->index);
     }
     double remote_time = expected_time(remote->load);
     if (remote->load.base_latency == nanoseconds(0)) {
