Bound the remembered digest acknowledgements

Cause: acknowledgements of entries that left were kept for the life of the process. Change: expire() forgets those of entries that are no longer heard; they get the whole list again. Result: membership_test passes.

--- a/libs/membership/src/target_directory.cpp
+++ b/libs/membership/src/target_directory.cpp
@@ -119,6 +119,8 @@
         remove(worker);
     }
     std::erase_if(entries_, [&](const auto& item) { return is_silent(item.second, now); });
+    // Bounds the acknowledgements by the entries that are heard; others get the whole list again.
+    std::erase_if(acknowledged_, [&](const auto& item) { return !entries_.contains(item.first); });
     forget_unknown_workers();
     return dropped;
 }
