Build the settings values in place

Cause: g++ 12 with the address and undefined behaviour sanitizers reports moved optional variants as uninitialized, which fails the build with -Werror. Change: values are constructed in place.

--- a/libs/settings/src/values.cpp
+++ b/libs/settings/src/values.cpp
@@ -96,7 +96,8 @@
     if (found == choices.end()) {
         return std::nullopt;
     }
-    return setting_value{std::int64_t{std::distance(choices.begin(), found)}};
+    return std::optional<setting_value>(std::in_place,
+                                        std::int64_t{std::distance(choices.begin(), found)});
 }
 
 std::optional<setting_value> parse_in_range(const setting_descriptor& row,
@@ -107,17 +108,21 @@
             static_cast<double>(*value) > row.maximum) {
             return std::nullopt;
         }
-        return setting_value{*value};
+        return std::optional<setting_value>(std::in_place, *value);
     }
     const auto value = parse_number<double>(text);
     if (!value || !std::isfinite(*value) || *value < row.minimum || *value > row.maximum) {
         return std::nullopt;
     }
-    return setting_value{*value};
+    return std::optional<setting_value>(std::in_place, *value);
 }
 
 std::optional<setting_value> text_if(bool is_allowed, const std::string& text) {
-    return is_allowed ? std::optional<setting_value>(text) : std::nullopt;
+    std::optional<setting_value> value;
+    if (is_allowed) {
+        value.emplace(text);
+    }
+    return value;
 }
 
 // "a, b" or "[a, b]", with or without double quotes: the form of overrides and defaults.
@@ -186,8 +191,11 @@
         case setting_type::address_list:
             break;
     }
-    const auto addresses = parse_addresses(list_items(text));
-    return addresses ? std::optional<setting_value>(*addresses) : std::nullopt;
+    std::optional<setting_value> value;
+    if (const auto addresses = parse_addresses(list_items(text))) {
+        value.emplace(*addresses);
+    }
+    return value;
 }
 
 std::string allowed_text(const setting_descriptor& row) {
