--- a/bench/routing_policy.cpp
+++ b/bench/routing_policy.cpp
@@ -1,5 +1,5 @@
 // Prints the tables of docs/policy-routing.md: each routing policy against its baselines.
-// Usage: routing_policy [number of seeds, from 1] [name of one table]
+// Usage: routing_policy [number of seeds, from 1] [name of one table] [name of one scenario]
 
 #include <algorithm>
 #include <cstdio>
@@ -122,9 +122,11 @@
 int main(int argc, char** argv) {
     const std::uint64_t seeds = argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 3;
     const std::string only = argc > 2 ? argv[2] : "";
+    const std::string only_scenario = argc > 3 ? argv[3] : "";
     std::string table;
     for (const auto& one : experiments()) {
-        if (!only.empty() && only != one.table) {
+        if ((!only.empty() && only != one.table) ||
+            (!only_scenario.empty() && only_scenario != name(one.kind))) {
             continue;
         }
         if (one.table != table) {
