--- a/libs/agent/include/tanagerpaddle/agent.hpp
+++ b/libs/agent/include/tanagerpaddle/agent.hpp
@@ -32,8 +32,8 @@
     // The agent is leaving: new requests are refused with `leaving`, which means not run, the
     // owner is told at once and evicts the tasks. Requests that were accepted go on.
     void begin_shutdown();
-    // True once no request is in flight, no task is held and every report is acknowledged; false
-    // if that is not so by `limit`.
+    // True once no request is in flight, no task is held, every report is acknowledged and an entry
+    // knows that the agent is leaving; false if that is not so by `limit`.
     [[nodiscard]] bool wait_until_drained(deadline limit);
     // Lets running requests end, closes the servers and joins the threads. Tasks that are still
     // held go on under their leases, and a restarted agent finds them again.
--- a/libs/agent/src/agent_parts.cpp
+++ b/libs/agent/src/agent_parts.cpp
@@ -40,6 +40,15 @@
     return std::make_unique<http_worker_runtime>(options);
 }
 
+// {"address":"127.0.0.1","port":7302}, as in the typed messages.
+endpoint to_endpoint(const nlohmann::json& message) {
+    try {
+        return {message.at("address").get<std::string>(), message.at("port").get<std::uint16_t>()};
+    } catch (const nlohmann::json::exception&) {
+        throw error(result_code::malformed_request, "\"from\" is no address and port");
+    }
+}
+
 }  // namespace
 
 agent_parts::agent_parts(const settings& values, incarnation_number incarnation, tracer& spans,
@@ -113,7 +122,7 @@
     }
     std::optional<endpoint> from;
     if (const auto sender = message.find("from"); sender != message.end()) {
-        from = decode<endpoint>(sender->dump());
+        from = to_endpoint(*sender);
     }
     sync_loop* const loop = running_loop_.load();
     const bool is_accepted =
@@ -231,7 +240,7 @@
 
 bool agent_parts::wait_until_drained(deadline limit) const {
     const sync_loop* const loop = running_loop_.load();
-    while (executor_.in_flight() > 0 || (loop != nullptr && !loop->is_idle())) {
+    while (executor_.in_flight() > 0 || (loop != nullptr && !loop->is_drained())) {
         if (limit.has_passed(time_.now())) {
             log_event(log_level::warning, "drain_incomplete",
                       {{"in_flight", executor_.in_flight()}});
--- a/libs/agent/src/request_executor.cpp
+++ b/libs/agent/src/request_executor.cpp
@@ -10,6 +10,9 @@
 // Shorter than the usual idle timeout of an HTTP server (5 s in cpp-httplib), so that a request is
 // not sent on a connection that the target is closing.
 constexpr std::int64_t target_reuse_ms = 4'000;
+// Timeouts of the HTTP client are whole milliseconds, rounded down, so they end before the
+// deadline.
+constexpr milliseconds timeout_rounding{2};
 constexpr std::int64_t longest_timeout_ms = 86'400'000;
 // Weight of the newest request in the average service time: 1/8.
 constexpr std::int64_t average_weight = 8;
@@ -226,14 +229,16 @@
 
 request_executor::answer request_executor::judge(const parsed_request& request,
                                                  http_result result) const {
-    const bool is_late = request.limit.has_passed(time_.now());
+    const instant now = time_.now();
+    const bool is_late = request.limit.has_passed(now);
     if (result.failure == http_failure::not_connected) {
         return {is_late ? result_code::deadline_exceeded_not_run : result_code::connection_refused,
                 "the target took no connection: " + result.message,
                 {}};
     }
     if (result.failure == http_failure::no_answer) {
-        return {is_late ? result_code::deadline_exceeded_running : result_code::target_failed,
+        const bool has_timed_out = request.limit.remaining(now) <= timeout_rounding;
+        return {has_timed_out ? result_code::deadline_exceeded_running : result_code::target_failed,
                 "no complete answer of the target: " + result.message,
                 {}};
     }
--- a/libs/agent/src/sync_loop.cpp
+++ b/libs/agent/src/sync_loop.cpp
@@ -65,6 +65,7 @@
     {
         const std::lock_guard lock(mutex_);
         tasks_.set_leaving();
+        is_leaving_ = true;
         is_woken_ = true;
     }
     changed_.notify_all();
@@ -75,9 +76,9 @@
     return tasks_.is_recovered();
 }
 
-bool sync_loop::is_idle() const {
+bool sync_loop::is_drained() const {
     const std::lock_guard lock(mutex_);
-    return tasks_.is_idle();
+    return tasks_.is_idle() && (!is_leaving_ || is_leaving_reported_);
 }
 
 void sync_loop::with_tasks(const std::function<void(agent_tasks&)>& use) {
@@ -182,7 +183,7 @@
         const auto reply = calls_.call_typed<sync_reply>(
             entry, "entry.sync", request, deadline::after(sent_at, options_.call_timeout));
         code = reply.code;
-        take_reply(entry, reply, request.sequence, sent_at);
+        take_reply(entry, reply, request, sent_at);
     } catch (const error& failure) {
         code = failure.code();
         message = failure.what();
@@ -201,14 +202,15 @@
     return code == result_code::ok;
 }
 
-void sync_loop::take_reply(const endpoint& entry, const sync_reply& reply, std::uint64_t sequence,
-                           instant sent_at) {
+void sync_loop::take_reply(const endpoint& entry, const sync_reply& reply,
+                           const sync_request& request, instant sent_at) {
     const std::lock_guard lock(mutex_);
-    tasks_.on_reply(reply, sequence);
+    tasks_.on_reply(reply, request.sequence);
     rotation_.set_known(tasks_.entries());
     // A reply with a lower epoch than a new owner's inventory call comes from the old owner.
     if (reply.code == result_code::ok && reply.epoch >= tasks_.epoch()) {
         rotation_.prefer(entry);
+        is_leaving_reported_ = is_leaving_reported_ || request.is_leaving;
         has_lease_ = reply.lease_ms > 0;
         lease_end_ = deadline::after(sent_at, milliseconds(reply.lease_ms));
     } else if (reply.redirect) {
--- a/libs/agent/src/sync_loop.hpp
+++ b/libs/agent/src/sync_loop.hpp
@@ -45,8 +45,9 @@
     [[nodiscard]] bool accept_inventory(epoch_number epoch, const std::optional<endpoint>& from);
     void set_leaving();
     [[nodiscard]] bool is_recovered() const;
-    // As agent_tasks::is_idle().
-    [[nodiscard]] bool is_idle() const;
+    // True if no task is held, every report is acknowledged, and, after set_leaving(), an entry has
+    // taken a sync that says so.
+    [[nodiscard]] bool is_drained() const;
     // Calls `use` with agent_tasks under the mutex.
     void with_tasks(const std::function<void(agent_tasks&)>& use);
 
@@ -57,7 +58,7 @@
     [[nodiscard]] bool sync_once();
     // True if the reply was taken; a redirect is followed by the next try.
     [[nodiscard]] bool sync_with(const endpoint& entry);
-    void take_reply(const endpoint& entry, const sync_reply& reply, std::uint64_t sequence,
+    void take_reply(const endpoint& entry, const sync_reply& reply, const sync_request& request,
                     instant sent_at);
     void check_lease();
     // Until the next sync is due; false if the loop stops.
@@ -75,6 +76,8 @@
     entry_rotation rotation_;
     bool is_woken_ = false;
     bool is_stopping_ = false;
+    bool is_leaving_ = false;
+    bool is_leaving_reported_ = false;
     deadline lease_end_;
     bool has_lease_ = false;
     std::thread sync_thread_;
