--- a/libs/telemetry/src/tracer.cpp
+++ b/libs/telemetry/src/tracer.cpp
@@ -87,8 +87,9 @@
     std::mutex mutex;
     random_source random;
     std::uint64_t reported_drops = 0;
-    std::shared_ptr<spdlog::details::thread_pool> pool;
     std::shared_ptr<spdlog::async_logger> logger;
+    // Destroyed first: its thread writes what is queued and ends before the logger and its file.
+    std::shared_ptr<spdlog::details::thread_pool> pool;
 };
 
 tracer::tracer(const trace_options& options, const clock& time)
@@ -135,7 +136,8 @@
 
 void span::set(std::string_view name, field_value value) {
     // Spans that are not written keep no attributes.
-    if (context_.is_sampled && owner_ != nullptr && attributes_.size() < max_attributes) {
+    if (context_.is_sampled && owner_ != nullptr && owner_->state_->logger &&
+        attributes_.size() < max_attributes) {
         attributes_.emplace_back(name.substr(0, max_attribute_bytes), std::move(value));
     }
 }
