--- a/apps/ctl/operator_client.cpp
+++ b/apps/ctl/operator_client.cpp
@@ -37,7 +37,7 @@
         return {
             result_code::internal_error,
             "the entry answered with HTTP status " + std::to_string(status) + " and no result code",
-            nlohmann::json::object()};
+            std::move(body)};
     }
     const result_code code = result_code_from_number(body["code"].get<int>());
     const std::string message = body.value("message", std::string());
--- a/apps/ctl/output.cpp
+++ b/apps/ctl/output.cpp
@@ -66,15 +66,4 @@
     return text.empty() ? "-" : text;
 }
 
-std::string resources_cell(const nlohmann::json& object, const char* member) {
-    if (!object.is_object() || !object.contains(member) || !object[member].is_object()) {
-        return "-";
-    }
-    const auto& value = object[member];
-    const resources amount{millicores(value.value("processors", std::int64_t{0})),
-                           mebibytes(value.value("memory", std::int64_t{0})),
-                           accelerator_count(value.value("accelerators", std::int64_t{0}))};
-    return to_string(amount);
-}
-
 }  // namespace tanagerpaddle::ctl
--- a/apps/ctl/output.hpp
+++ b/apps/ctl/output.hpp
@@ -32,7 +32,5 @@
 
 // A member as cell text; "-" if it is absent, null or empty.
 [[nodiscard]] std::string cell(const nlohmann::json& object, const char* member);
-// "4000m 8192MiB 0acc"
-[[nodiscard]] std::string resources_cell(const nlohmann::json& object, const char* member);
 
 }  // namespace tanagerpaddle::ctl
--- a/apps/ctl/state_commands.cpp
+++ b/apps/ctl/state_commands.cpp
@@ -4,6 +4,7 @@
 
 #include "command.hpp"
 #include "output.hpp"
+#include "tanagerpaddle/protocol.hpp"
 
 namespace tanagerpaddle::ctl {
 
@@ -13,8 +14,10 @@
     return object.is_object() && object.value(member, false) ? "yes" : "no";
 }
 
-std::string endpoint_cell(const nlohmann::json& value) {
-    return cell(value, "address") + ":" + cell(value, "port");
+// Messages leave out members that have their default value, so they are read into their structs.
+template <class Message>
+Message read(const nlohmann::json& value) {
+    return decode<Message>(value.is_null() ? "{}" : value.dump());
 }
 
 const nlohmann::json& member(const nlohmann::json& object, const char* name) {
@@ -25,8 +28,8 @@
 void print_entries(std::ostream& out, const nlohmann::json& entries) {
     text_table table({"ENTRY", "CONTROL", "DOMAIN", "LIVE", "CONFIGURATION"});
     for (const auto& item : entries) {
-        const auto& info = member(item, "info");
-        table.add({cell(info, "id"), endpoint_cell(member(info, "control")), cell(info, "domain"),
+        const auto info = read<entry_info>(member(item, "info"));
+        table.add({info.id.value(), to_string(info.control), info.domain.value(),
                    yes_or_no(item, "is_live"), cell(item, "configuration")});
     }
     table.print(out);
@@ -35,9 +38,10 @@
 void print_partitions(std::ostream& out, const nlohmann::json& partitions) {
     text_table table({"PARTITION", "EPOCH", "WORKERS", "PENDING", "FREE", "LARGEST FREE"});
     for (const auto& item : partitions) {
-        table.add({cell(item, "partition"), cell(item, "epoch"), cell(item, "worker_count"),
-                   cell(item, "pending_tasks"), resources_cell(item, "free"),
-                   resources_cell(item, "largest_free")});
+        const auto part = read<partition_summary>(item);
+        table.add({std::to_string(part.partition.value()), std::to_string(part.epoch.value()),
+                   std::to_string(part.worker_count), std::to_string(part.pending_tasks),
+                   to_string(part.free), to_string(part.largest_free)});
     }
     table.print(out);
 }
@@ -80,12 +84,13 @@
     text_table table({"TARGET", "SERVICE", "DATA", "DOMAIN", "BUSY", "SLOTS", "OUTSTANDING",
                       "LIMIT", "LATENCY_US", "HEALTHY", "EJECTED", "LEAVING"});
     for (const auto& item : body) {
-        const auto& report = member(item, "target");
-        table.add({cell(report, "id"), cell(report, "service"),
-                   endpoint_cell(member(report, "data")), cell(item, "domain"),
-                   cell(report, "busy_slots"), cell(report, "slots"), cell(item, "outstanding"),
-                   cell(item, "limit"), cell(item, "latency_us"), yes_or_no(report, "is_healthy"),
-                   yes_or_no(item, "is_ejected"), yes_or_no(item, "is_leaving")});
+        const auto known = read<known_target>(item);
+        const target_report& report = known.target;
+        table.add({report.id.value(), report.service.value(), to_string(report.data),
+                   known.domain.value(), std::to_string(report.busy_slots),
+                   std::to_string(report.slots), cell(item, "outstanding"), cell(item, "limit"),
+                   cell(item, "latency_us"), report.is_healthy ? "yes" : "no",
+                   yes_or_no(item, "is_ejected"), known.is_leaving ? "yes" : "no"});
     }
     print(context, body, table);
     return exit_status::ok;
