--- a/libs/protocol/tests/json_test.cpp
+++ b/libs/protocol/tests/json_test.cpp
@@ -47,3 +47,26 @@
     CHECK(key == "group/0003/harvest/0012");
     CHECK(key.starts_with(shard_prefix(partition_number(3))));
 }
+
+// A number that is cut silently would turn one process's statement into another one.
+TEST_CASE("numbers and enumerators out of range are refused") {
+    for (const char* text :
+         {"{\"code\":7e120}", "{\"code\":70000}", "{\"code\":599}", "{\"lease_ms\":1.5}",
+          "{\"epoch\":-1}", "{\"epoch\":18446744073709551616}"}) {
+        INFO("text ", text);
+        CHECK_THROWS_AS((void)decode<sync_reply>(text), error);
+    }
+    CHECK_THROWS_AS((void)decode<sync_request>("{\"control\":{\"port\":65536}}"), error);
+    CHECK_THROWS_AS((void)decode<sync_request>("{\"tasks\":[{\"state\":8}]}"), error);
+    CHECK_THROWS_AS((void)decode<sync_request>("{\"tasks\":[{\"run_ms\":1e99}]}"), error);
+}
+
+// A default that differs from zero must not be restored in place of a zero that was sent.
+TEST_CASE("a field is left out only if it holds its default") {
+    held_task task;
+    CHECK(encode(task) == "{}");
+    task.speed_percent = 0;
+    CHECK(encode(task) == "{\"speed_percent\":0}");
+    CHECK(decode<held_task>(encode(task)).speed_percent == 0);
+    CHECK(encode_complete(task).size() > 100);
+}
