daemon: catch the exception class of cxxopts 3.1

Cause: cxxopts 3.1 has no class OptionException, so main.cpp does not compile.

Change: catch cxxopts::exceptions::exception.

--- a/apps/daemon/main.cpp
+++ b/apps/daemon/main.cpp
@@ -177,7 +177,7 @@
     try {
         cxxopts::Options options = make_options();
         return start(options.parse(argc, argv), options.help());
-    } catch (const cxxopts::OptionException& failure) {
+    } catch (const cxxopts::exceptions::exception& failure) {
         std::cerr << failure.what() << "\n";
         return exit_usage;
     } catch (const error& failure) {
