agent: fill the metrics of latency, refused connections and wrong keys

Cause: request_latency, connections_refused and unauthorized_calls were declared but never filled. Change: recorded on the execute path and added up when the metrics page is read. No test reads these three metrics.

--- a/libs/agent/src/agent_parts.cpp
+++ b/libs/agent/src/agent_parts.cpp
@@ -40,6 +40,12 @@
     return std::make_unique<http_worker_runtime>(options);
 }
 
+// Adds what `total` has grown by since the last call.
+void add_growth(counter& to, std::atomic<std::uint64_t>& counted, std::uint64_t total) {
+    const std::uint64_t before = counted.exchange(total);
+    to.add(total > before ? total - before : 0);
+}
+
 // {"address":"127.0.0.1","port":7302}, as in the typed messages.
 endpoint to_endpoint(const nlohmann::json& message) {
     try {
@@ -148,6 +154,12 @@
     metrics()
         .gauge_of(metric::requests_in_flight, {settings_.agent.service.value()})
         .set(static_cast<std::int64_t>(executor_.in_flight()));
+    add_growth(metrics().counter_of(metric::unauthorized_calls, {"control"}), counted_unauthorized_,
+               keys_.refused());
+    add_growth(metrics().counter_of(metric::connections_refused, {"data"}), counted_refused_data_,
+               data_server_.refused_connections());
+    add_growth(metrics().counter_of(metric::connections_refused, {"control"}),
+               counted_refused_control_, control_server_.refused_connections());
     http_response response;
     response.content_type = "text/plain; version=0.0.4";
     response.body = metrics().prometheus_text();
--- a/libs/agent/src/agent_parts.hpp
+++ b/libs/agent/src/agent_parts.hpp
@@ -57,6 +57,10 @@
     rpc_dispatcher dispatcher_;
     incarnation_number incarnation_;
     std::atomic<bool> is_leaving_{false};
+    // What the counters of the metrics page already contain.
+    std::atomic<std::uint64_t> counted_unauthorized_{0};
+    std::atomic<std::uint64_t> counted_refused_data_{0};
+    std::atomic<std::uint64_t> counted_refused_control_{0};
     // Made in start(), when the ports are known. Handlers of the control server may come before.
     std::unique_ptr<agent_tasks> tasks_;
     std::unique_ptr<sync_loop> loop_;
--- a/libs/agent/src/request_executor.cpp
+++ b/libs/agent/src/request_executor.cpp
@@ -92,7 +92,11 @@
         log_event(log_level::debug, "request_refused",
                   {{"request_id", parsed.id}, {"code", result.code}});
     } else {
-        record_latency(time_.now() - started);
+        const auto took = time_.now() - started;
+        record_latency(took);
+        metrics()
+            .latency_of(metric::request_latency, {parsed.service.value(), parsed.method})
+            .record(took);
     }
     return to_response(parsed, std::move(result));
 }
