agent: give a stored answer only to the same request

Cause: Two different requests under one id: the second would have got the first one's answer. Change: a kept answer carries a hash of service, method and body; another request is refused with duplicate_request.

--- a/libs/agent/src/request_executor.cpp
+++ b/libs/agent/src/request_executor.cpp
@@ -56,6 +56,7 @@
     parsed.is_idempotent = request.header(header_name::idempotent) == "1";
     parsed.timeout_ms = number_or(request.header(header_name::timeout_ms), -1);
     parsed.incarnation = request.header(header_name::incarnation);
+    parsed.hash = hash_bytes(parsed.service.value() + '\n' + parsed.method + '\n' + request.body);
     const std::int64_t budget = std::clamp(parsed.timeout_ms, std::int64_t{0}, longest_timeout_ms);
     parsed.limit = deadline::after(time_.now(), milliseconds(budget));
     return parsed;
@@ -127,10 +128,13 @@
     std::unique_lock lock(mutex_);
     // The registry comes first: a refusal as "not run" must not be said of a request that runs.
     registry_verdict verdict = registry_.check(request.id, request.is_idempotent);
+    result_code code = verdict.code;
     if (verdict.answer) {
-        return std::move(verdict.answer);
+        if (verdict.answer->request_hash == request.hash) {
+            return std::move(verdict.answer);
+        }
+        code = result_code::duplicate_request;
     }
-    result_code code = verdict.code;
     if (code == result_code::ok) {
         code = refusal_;
     }
@@ -264,9 +268,10 @@
     if (is_late) {
         return {result_code::deadline_exceeded_running, "the target answered too late", {}};
     }
-    return {result_code::ok,
-            "",
-            {response.status, response.header("Content-Type"), std::move(response.body)}};
+    return {
+        result_code::ok,
+        "",
+        {response.status, response.header("Content-Type"), std::move(response.body), request.hash}};
 }
 
 http_response request_executor::to_response(const parsed_request& request, answer result) const {
--- a/libs/agent/src/request_executor.hpp
+++ b/libs/agent/src/request_executor.hpp
@@ -59,6 +59,8 @@
         std::int64_t timeout_ms = -1;
         std::string incarnation;
         deadline limit;
+        // Of service, method and body.
+        std::uint64_t hash = 0;
     };
     struct answer {
         result_code code = result_code::ok;
--- a/libs/agent/src/request_registry.hpp
+++ b/libs/agent/src/request_registry.hpp
@@ -38,6 +38,8 @@
     int status = 200;
     std::string content_type;
     std::string body;
+    // Hash of the request; the answer is only given to the same request.
+    std::uint64_t request_hash = 0;
 };
 
 // Whether a request may be accepted.
--- a/libs/agent/tests/request_executor_test.cpp
+++ b/libs/agent/tests/request_executor_test.cpp
@@ -254,6 +254,10 @@
     CHECK(first == result_code::ok);
     const http_response again = agent.executor.execute(fixture::request("r1"));
     CHECK(again.body == "answer to 12 pallets");
+    // Another request under the same id must not get this answer.
+    http_request other = fixture::request("r1");
+    other.body = "99 pallets";
+    CHECK(fixture::code_of(agent.executor.execute(other)) == result_code::duplicate_request);
     CHECK(back.runs == 1);
 }
 
--- a/libs/agent/tests/request_registry_test.cpp
+++ b/libs/agent/tests/request_registry_test.cpp
@@ -68,7 +68,7 @@
     fixture world;
     REQUIRE(world.take(order) == result_code::ok);
     world.registry.begin(order);
-    world.registry.finish(order, stored_answer{200, "text/plain", "cut 12 pallets"});
+    world.registry.finish(order, stored_answer{200, "text/plain", "cut 12 pallets", 0});
     const registry_verdict verdict = world.registry.check(order, false);
     REQUIRE(verdict.answer.has_value());
     CHECK(verdict.answer->body == "cut 12 pallets");
@@ -81,7 +81,7 @@
     fixture world(options);
     REQUIRE(world.take(order) == result_code::ok);
     world.registry.begin(order);
-    world.registry.finish(order, stored_answer{200, "text/plain", "done"});
+    world.registry.finish(order, stored_answer{200, "text/plain", "done", 0});
     CHECK(world.take(request_id("order-2")) == result_code::overloaded);
     CHECK(world.registry.check(order, false).answer.has_value());
     world.time.advance(budget + milliseconds(1));
