entry: send the own address as an endpoint with inventory queries

Cause: the agent expects {address, port}, the entry sent one text, so the new owner was not asked. Change: the entry sends the endpoint's two fields.

--- a/libs/entry/src/loops.cpp
+++ b/libs/entry/src/loops.cpp
@@ -267,8 +267,9 @@
     }
     for (const auto& query : due.inventories) {
         call(query.contact.control, "agent.inventory",
-             "{\"epoch\":" + std::to_string(query.epoch.value()) + ",\"from\":\"" +
-                 to_string(self_.control) + "\"}");
+             "{\"epoch\":" + std::to_string(query.epoch.value()) + ",\"from\":{\"address\":\"" +
+                 self_.control.address + "\",\"port\":" + std::to_string(self_.control.port) +
+                 "}}");
     }
 }
 
