Let an entry bind its control server to any free port

Cause: the entry's address goes into the table and into digests, so it was needed before start(). Change: http_server::bind() binds without serving; the entry binds when it is created. Result: two entries and four agents start in scripts/demo with port 0.

--- a/libs/entry/src/entry_services.cpp
+++ b/libs/entry/src/entry_services.cpp
@@ -77,10 +77,11 @@
     return options;
 }
 
-entry_info make_self(const settings& values, incarnation_number incarnation) {
+entry_info make_self(const settings& values, incarnation_number incarnation,
+                     std::uint16_t control_port) {
     return {entry_id(values.id),
             incarnation,
-            {values.entry.control.address, values.entry.control.port},
+            {values.entry.control.address, control_port},
             values.failure_domain};
 }
 
@@ -94,7 +95,7 @@
       operators(server_options(values.entry.operators, configuration_limits::document_bytes)),
       control(server_options(values.entry.control, control_body_bytes)),
       settings_(values),
-      self_(make_self(values, incarnation)),
+      self_(make_self(values, incarnation, control.bind())),
       spans_(spans),
       table_(table_options(values)),
       request_connections_(time_, idle_request_connections),
@@ -121,10 +122,6 @@
 
 void entry_services::start() {
     control.start();
-    if (self_.control.port != control.port()) {
-        throw error(result_code::invalid_settings,
-                    "entry.control.port must be fixed: other entries keep it in the table");
-    }
     callers.start();
     operators.start();
     const auto every = [](milliseconds interval) { return [interval] { return interval; }; };
--- a/libs/rpc/include/tanagerpaddle/rpc.hpp
+++ b/libs/rpc/include/tanagerpaddle/rpc.hpp
@@ -96,7 +96,9 @@
 
     // Adds a route; `pattern` is a regular expression for the whole path. Before start() only.
     void route(const std::string& method, const std::string& pattern, handler handle);
-    // Binds and serves from threads of its own. Throws error(internal_error) if it cannot bind.
+    // Binds without serving yet, and returns the port. Throws error(internal_error) if it cannot.
+    std::uint16_t bind();
+    // Binds, if bind() was not called, and serves from threads of its own.
     void start();
     // The bound port.
     [[nodiscard]] std::uint16_t port() const noexcept;
--- a/libs/rpc/src/http_server.cpp
+++ b/libs/rpc/src/http_server.cpp
@@ -319,7 +319,10 @@
         }
     }
 
-    void start() {
+    std::uint16_t bind() {
+        if (port_ != 0) {
+            return port_;
+        }
         const std::string& address = options_.listen.address;
         if (options_.listen.port == 0) {
             const int port = server_.bind_to_any_port(address);
@@ -332,6 +335,11 @@
                         "cannot listen on " + to_string(options_.listen));
         }
         server_.widen_backlog();
+        return port_;
+    }
+
+    void start() {
+        (void)bind();
         thread_ = std::thread([this] { server_.listen_after_bind(); });
         while (!server_.is_running()) {
             std::this_thread::yield();
@@ -367,6 +375,9 @@
     implementation_->route(method, pattern, std::move(handle));
 }
 
+std::uint16_t http_server::bind() {
+    return implementation_->bind();
+}
 void http_server::start() {
     implementation_->start();
 }
