scheduling: do not run evicted non-idempotent tasks again without a checkpoint

Ruled out by the traces: a repeated permit (each start has its own attempt), a reclaimed lease and a late commit (the worker was connected and the row changed right after the drain). Change: drains leave non-idempotent tasks that cannot be checkpointed where they are; one that is evicted without a checkpoint all the same is recorded as lost.

--- a/libs/scheduling/src/drains.cpp
+++ b/libs/scheduling/src/drains.cpp
@@ -32,7 +32,9 @@
         drop_settled_evictions(p);
         for (const auto& [key, group] : p.groups) {
             const job_declaration& job = group.row.declaration;
-            if (job.kind != job_kind::batch) {
+            // Without a checkpoint a non-idempotent task could not run again: it ends where it is.
+            const bool can_move = job.is_idempotent || job.can_checkpoint;
+            if (job.kind != job_kind::batch || !can_move) {
                 continue;
             }
             for (const auto& record : group.row.tasks) {
--- a/libs/scheduling/src/records.cpp
+++ b/libs/scheduling/src/records.cpp
@@ -101,20 +101,35 @@
             apply_failure(p, received.worker, report, record, group);
             break;
         case report_kind::evicted:
-            make_pending(record);
-            ++record.eviction_count;
-            ++counts.evictions;
-            record.progress = report.progress;
-            if (!report.checkpoint.empty()) {
-                record.checkpoint = report.checkpoint;
-            }
-            p.evictions.erase(report.attempt);
-            note_decision(decision_kind::eviction, p.number, report.attempt, received.worker,
-                          "evicted with checkpoint '" + record.checkpoint + "'");
+            apply_eviction(p, received, record, group);
             break;
     }
 }
 
+void scheduler_state::apply_eviction(partition_state& p, const received_report& received,
+                                     task_record& record, const group_row& group) {
+    const task_report& report = received.report;
+    ++record.eviction_count;
+    ++counts.evictions;
+    record.progress = report.progress;
+    if (!report.checkpoint.empty()) {
+        record.checkpoint = report.checkpoint;
+    }
+    p.evictions.erase(report.attempt);
+    if (!group.declaration.is_idempotent && record.checkpoint.empty()) {
+        // It has run; a second run from the start would repeat what the first did.
+        record.state = task_state::lost;
+        record.code = result_code::outcome_unknown;
+        ++counts.lost_tasks;
+        note_decision(decision_kind::task_lost, p.number, report.attempt, received.worker,
+                      "evicted without a checkpoint");
+        return;
+    }
+    make_pending(record);
+    note_decision(decision_kind::eviction, p.number, report.attempt, received.worker,
+                  "evicted with checkpoint '" + record.checkpoint + "'");
+}
+
 void scheduler_state::apply_failure(partition_state& p, const worker_id& worker,
                                     const task_report& report, task_record& record,
                                     const group_row& group) {
--- a/libs/scheduling/src/scheduler_state.hpp
+++ b/libs/scheduling/src/scheduler_state.hpp
@@ -177,6 +177,8 @@
     // True if the report changes its task: the attempt is current and has not ended.
     [[nodiscard]] bool has_effect(const partition_state& p, const received_report& received) const;
     void apply_report(partition_state& p, const received_report& received, group_edits& edits);
+    void apply_eviction(partition_state& p, const received_report& received, task_record& record,
+                        const group_row& group);
     void apply_failure(partition_state& p, const worker_id& worker, const task_report& report,
                        task_record& record, const group_row& group);
     void reclaim_tasks(partition_state& p, group_edits& edits);
