--- a/tests/soak/mechanisms.cpp
+++ b/tests/soak/mechanisms.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr std::uint64_t most_seeds = 6;
+constexpr std::uint64_t most_seeds = 60;
 
 struct mechanism {
     const char* name;
