scheduling: forget an earlier attempt's checkpoint when a new one is reported

Cause: the owner's memory of a task kept the checkpoint of a failed attempt when the next attempt, started without it, was reported. Ruled out by the trace: a lost or late commit (the rows in question follow each other without one).

--- a/libs/scheduling/src/sync.cpp
+++ b/libs/scheduling/src/sync.cpp
@@ -104,6 +104,9 @@
             continue;
         }
         task_memory& memory = p.memory[task.attempt.task];
+        if (memory.attempt != task.attempt.attempt) {
+            memory.checkpoint.clear();  // The attempt may have started without it.
+        }
         memory.attempt = task.attempt.attempt;
         memory.progress = task.progress;
         if (!task.checkpoint.empty()) {
