--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -8,7 +8,8 @@
 }  // namespace
 
 std::int64_t fault_source::between(std::int64_t low, std::int64_t high) {
-    return low + static_cast<std::int64_t>(random_.below(static_cast<std::uint64_t>(high - low + 1)));
+    return low +
+           static_cast<std::int64_t>(random_.below(static_cast<std::uint64_t>(high - low + 1)));
 }
 
 entry_process& fault_source::entry() {
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -37,8 +37,8 @@
     for (const auto& line : result.last_lines) {
         std::cout << line << '\n';
     }
-    std::cout << "violation: " << result.violation << "\nseed " << seed << " step "
-              << result.steps << " virtual time " << result.virtual_time.count() << " ms\n";
+    std::cout << "violation: " << result.violation << "\nseed " << seed << " step " << result.steps
+              << " virtual time " << result.virtual_time.count() << " ms\n";
 }
 
 void print_totals(const totals& sum, std::uint64_t first_seed) {
@@ -55,7 +55,8 @@
 
 cxxopts::Options declared_options() {
     cxxopts::Options options("tanagerpaddle-soak", "Randomised runs on a virtual clock");
-    options.add_options()("seed", "first seed", cxxopts::value<std::uint64_t>()->default_value("1"))(
+    options.add_options()("seed", "first seed",
+                          cxxopts::value<std::uint64_t>()->default_value("1"))(
         "minutes", "wall-clock minutes; new seeds begin until then",
         cxxopts::value<double>()->default_value("0"))(
         "workers", "workers", cxxopts::value<std::size_t>()->default_value("50"))(
--- a/tests/soak/network.cpp
+++ b/tests/soak/network.cpp
@@ -9,7 +9,8 @@
     }
     const int copies = random_.chance(faults.duplication) ? 2 : 1;
     for (int i = 0; i < copies; ++i) {
-        const std::uint64_t extra = faults.extra_delay_ms == 0 ? 0 : random_.below(faults.extra_delay_ms);
+        const std::uint64_t extra =
+            faults.extra_delay_ms == 0 ? 0 : random_.below(faults.extra_delay_ms);
         const milliseconds delay(static_cast<std::int64_t>(3 + random_.below(10) + extra));
         queue_.emplace(std::pair(time_.now + delay, ++order_), value);
     }
--- a/tests/soak/runtime.cpp
+++ b/tests/soak/runtime.cpp
@@ -53,8 +53,8 @@
         if (entry.is_hold) {
             continue;
         }
-        entry.task.progress = std::min(1.0, static_cast<double>(entry.task.run_ms) /
-                                                static_cast<double>(entry.needed_ms));
+        entry.task.progress = std::min(
+            1.0, static_cast<double>(entry.task.run_ms) / static_cast<double>(entry.needed_ms));
         if (entry.task.run_ms >= entry.needed_ms) {
             seen_.finishes(worker_, attempt);
             set_state(entry, runtime_task_state::finished);
--- a/tests/soak/scenario.cpp
+++ b/tests/soak/scenario.cpp
@@ -188,7 +188,8 @@
         const bool is_drained = next->is_drained(domain);
         const auto stored = w_.rows.rows.read(domain_key(domain));
         if (!stored || decode<domain_row>(stored->value).is_drained != is_drained) {
-            change.puts.push_back({domain_key(domain), encode(domain_row{is_drained, row.version})});
+            change.puts.push_back(
+                {domain_key(domain), encode(domain_row{is_drained, row.version})});
         }
     }
     const bool committed = w_.rows.commit(change, who, [](std::size_t) {}).committed;
@@ -200,8 +201,8 @@
 void scenario::race_of_operators() {
     const std::vector<failure_domain_id> first =
         random_.chance(0.5) ? std::vector<failure_domain_id>{}
-                            : std::vector<failure_domain_id>{failure_domain_id(
-                                  "domain-" + std::to_string(random_.below(3)))};
+                            : std::vector<failure_domain_id>{
+                                  failure_domain_id("domain-" + std::to_string(random_.below(3)))};
     const std::vector<failure_domain_id> second{
         failure_domain_id("domain-" + std::to_string(random_.below(3)))};
     int accepted = 0;
--- a/tests/soak/trace.cpp
+++ b/tests/soak/trace.cpp
@@ -164,9 +164,9 @@
                " finished " + std::to_string(ended.finished) + " cancelled " +
                std::to_string(ended.cancelled) + " failed " + std::to_string(ended.failed) +
                " lost " + std::to_string(ended.lost));
-    check_invariant(ended.finished + ended.cancelled + ended.failed + ended.lost <=
-                        job.declaration.task_count,
-                    "finished: more tasks of " + id.value() + " ended than it has");
+    check_invariant(
+        ended.finished + ended.cancelled + ended.failed + ended.lost <= job.declaration.task_count,
+        "finished: more tasks of " + id.value() + " ended than it has");
     std::uint32_t finished = 0;
     for (std::uint32_t i = 0; i < job.declaration.task_count; ++i) {
         finished += finished_tasks_.contains({id, i}) ? 1 : 0;
--- a/tests/soak/world.cpp
+++ b/tests/soak/world.cpp
@@ -33,7 +33,8 @@
       rows(time, seen, trace, derived_seed(chosen.seed, "table")),
       net(time, derived_seed(chosen.seed, "network")),
       random(derived_seed(chosen.seed, "world")) {
-    scheduling.partition_count = static_cast<std::uint32_t>(std::max<std::size_t>(2, chosen.entries));
+    scheduling.partition_count =
+        static_cast<std::uint32_t>(std::max<std::size_t>(2, chosen.entries));
     scheduling.mechanisms = chosen.scheduler;
     scheduling.write_rows_per_second = 300.0 / static_cast<double>(chosen.entries);
     entries.resize(chosen.entries);
@@ -52,7 +53,8 @@
         agent.identity.domain = failure_domain_id("domain-" + std::to_string(i % 3));
         agent.identity.rack = rack_id("rack-" + std::to_string(i / 3));
         agent.identity.control = {agent.identity.worker.value(), 1};
-        agent.capacity = {millicores(4'000), mebibytes(16'000), accelerator_count(i % 4 == 0 ? 1 : 0)};
+        agent.capacity = {millicores(4'000), mebibytes(16'000),
+                          accelerator_count(i % 4 == 0 ? 1 : 0)};
         agent.time = std::make_unique<skewed_clock>(time, chosen_rate(random));
         agent.runtime_time = std::make_unique<skewed_clock>(time, chosen_rate(random));
         seen.add_worker(agent.identity.worker, agent.capacity, agent.identity.domain);
@@ -66,9 +68,9 @@
 
 void world::start_entry(entry_process& entry) {
     entry.info.incarnation = incarnation_number(++next_life_);
-    entry.port = std::make_unique<table_port>(rows, time, entry.info.id.value(),
-                                              scheduling.write_rows_per_second,
-                                              scheduling.write_burst_rows);
+    entry.port =
+        std::make_unique<table_port>(rows, time, entry.info.id.value(),
+                                     scheduling.write_rows_per_second, scheduling.write_burst_rows);
     entry.directory = std::make_unique<entry_directory>(entry.info);
     entry.scheduler = std::make_unique<entry_scheduler>(scheduling, entry.info, *entry.port,
                                                         strategy, *entry.time, next_life_);
@@ -303,8 +305,8 @@
     if (!result.changed_shards.empty()) {
         for (const auto& other : entries) {
             if (other.info.id != entry.info.id) {
-                net.send({self, other.info.id.value(), 0, 0,
-                          entry_notice{{}, result.changed_shards}});
+                net.send(
+                    {self, other.info.id.value(), 0, 0, entry_notice{{}, result.changed_shards}});
             }
         }
     }
