entry: give job and task rows whole, with the names of their states

Cause: the operators' interface replaced the number of a state by its name, which the tool's typed reading refuses. Change: rows are complete, and state_name is added. Result: scripts/demo goes on to the cancellation of a job, where it stopped next.

--- a/libs/entry/src/operator_jobs.cpp
+++ b/libs/entry/src/operator_jobs.cpp
@@ -30,7 +30,7 @@
 
 json job_json(const job_row& row) {
     json result = json::parse(encode_complete(row));
-    result["state"] = state_name(row.state);
+    result["state_name"] = state_name(row.state);
     return result;
 }
 
@@ -107,15 +107,9 @@
     const job_status status = scheduler_.status(job_id(request.captures.at(0)));
     json tasks = json::array();
     for (const auto& task : status.tasks) {
-        tasks.push_back({{"index", task.index},
-                         {"state", name(task.state)},
-                         {"attempt", task.attempt.value()},
-                         {"worker", task.worker.value()},
-                         {"domain", task.domain.value()},
-                         {"progress", task.progress},
-                         {"checkpoint", task.checkpoint},
-                         {"failures", task.failure_count},
-                         {"evictions", task.eviction_count}});
+        json item = json::parse(encode_complete(task));
+        item["state_name"] = name(task.state);
+        tasks.push_back(std::move(item));
     }
     return json_response({{"job", job_json(status.job)}, {"tasks", tasks}});
 }
