entry: keep the parsed body alive while its ids are read

Cause: the range of the loop in cancel_jobs was a member of a temporary, which C++20 destroys before the first iteration. jobs cancel got an empty result list and cancelled nothing.

Change: name the parsed body.

Result: not built or run yet.

--- a/libs/entry/src/operator_jobs.cpp
+++ b/libs/entry/src/operator_jobs.cpp
@@ -169,7 +169,8 @@
 http_response entry_services::cancel_jobs(const http_request& request) {
     std::vector<job_id> ids;
     try {
-        for (const auto& id : json::parse(request.body).at("ids")) {
+        const json body = json::parse(request.body);
+        for (const auto& id : body.at("ids")) {
             ids.emplace_back(id.get<std::string>());
         }
     } catch (const json::exception& failure) {
