--- a/libs/entry/src/operator_jobs.cpp
+++ b/libs/entry/src/operator_jobs.cpp
@@ -30,7 +30,7 @@
 
 json job_json(const job_row& row) {
     json result = json::parse(encode_complete(row));
-    result["state_name"] = state_name(row.state);
+    result["state"] = state_name(row.state);
     return result;
 }
 
@@ -108,7 +108,7 @@
     json tasks = json::array();
     for (const auto& task : status.tasks) {
         json item = json::parse(encode_complete(task));
-        item["state_name"] = name(task.state);
+        item["state"] = name(task.state);
         tasks.push_back(std::move(item));
     }
     return json_response({{"job", job_json(status.job)}, {"tasks", tasks}});
