agent: report a task that ended before its eviction as finished

Cause: the agent polls the runtime each 500 ms. A task that ended between two polls and was ordered to leave was reported as evicted and ran again elsewhere. Ruled out: a late acknowledgement (the records show the first end before the eviction was ordered).

--- a/libs/scheduling/include/tanagerpaddle/scheduling.hpp
+++ b/libs/scheduling/include/tanagerpaddle/scheduling.hpp
@@ -364,6 +364,8 @@
     bool check_lease = true;
     // The ledger is rebuilt from the runtime before anything is accepted.
     bool rebuild_ledger = true;
+    // A task is paused and looked at again before it is reported as evicted.
+    bool check_end_before_eviction = true;
 };
 
 struct agent_options {
--- a/libs/scheduling/src/agent_starts.cpp
+++ b/libs/scheduling/src/agent_starts.cpp
@@ -142,6 +142,9 @@
 void agent_state::evict(const task_attempt& attempt) {
     agent_task& task = tasks.at(attempt);
     try {
+        if (has_ended_at_runtime(attempt)) {
+            return;
+        }
         if (task.can_checkpoint) {
             const std::string key = runtime.checkpoint(attempt);
             if (!key.empty()) {
@@ -155,6 +158,31 @@
     end_task(attempt, report_kind::evicted, result_code::ok);
 }
 
+// A task that ended since the last poll must be reported as ended: reported as evicted, it would
+// run again. It is paused first, so that it cannot end between this look and its stop.
+bool agent_state::has_ended_at_runtime(const task_attempt& attempt) {
+    if (!options.mechanisms.check_end_before_eviction) {
+        return false;
+    }
+    try {
+        runtime.pause(attempt);
+    } catch (const error& failure) {
+        if (failure.code() != result_code::unknown_job &&
+            failure.code() != result_code::duplicate_request) {
+            throw;
+        }
+    }
+    for (const auto& found : runtime.list()) {
+        const bool is_over = found.state == runtime_task_state::finished ||
+                             found.state == runtime_task_state::failed;
+        if (found.attempt == attempt && is_over) {
+            take_over_listing(found);
+            return true;
+        }
+    }
+    return false;
+}
+
 void agent_state::stop_and_drop(const task_attempt& attempt) {
     const auto found = tasks.find(attempt);
     try {
--- a/libs/scheduling/src/agent_state.hpp
+++ b/libs/scheduling/src/agent_state.hpp
@@ -65,6 +65,7 @@
     void start(const start_permit& permit, instant requested_at, instant lease_end);
     void carry_out(const task_order& order);
     void evict(const task_attempt& attempt);
+    [[nodiscard]] bool has_ended_at_runtime(const task_attempt& attempt);
     void stop_and_drop(const task_attempt& attempt);
     void drop(const task_attempt& attempt);
     void resolve_unknown_start(const task_attempt& attempt, const std::set<task_attempt>& listed);
--- a/libs/scheduling/tests/agent_failures_test.cpp
+++ b/libs/scheduling/tests/agent_failures_test.cpp
@@ -251,6 +251,34 @@
     CHECK(w.record.starts.size() == 1);
 }
 
+// Guards against work that is done twice: scripts/faults drain saw 12 tasks of a drained failure
+// domain finish, be reported as evicted, and finish again elsewhere.
+TEST_CASE("a task that ends just before its eviction is reported as finished") {
+    const bool is_on = with_mechanism();
+    world w;
+    w.add_entry();
+    agent_options options;
+    options.mechanisms.check_end_before_eviction = is_on;
+    agent_node& agent = w.add_worker("w1", 4000, "richmond", options);
+    w.run(seconds(3));
+    REQUIRE(w.entries[0]->scheduler->submit(make_job("harvest", 1000, seconds(5)), false).is_new);
+    REQUIRE(w.run_until([&] { return w.record.starts.size() == 1; }, seconds(5)));
+    w.run(seconds(1));
+    const sync_request request = agent.tasks->next_sync();
+    for (int step = 0; step < 60; ++step) {
+        w.time.advance(milliseconds(100));
+        agent.runtime->renew({w.record.starts[0].attempt}, 10'000);
+        agent.runtime->advance(milliseconds(100));
+    }
+    REQUIRE(w.record.finishes_of[first_task("harvest")] == 1);
+    sync_reply reply = w.entries[0]->scheduler->sync(request);
+    reply.orders.push_back({w.record.starts[0].attempt, order_kind::evict, 100});
+    agent.tasks->on_reply(reply, request.sequence);
+    w.run(seconds(15));
+    INFO("finishes " << w.record.finishes_of[first_task("harvest")]);
+    CHECK((w.record.finishes_of[first_task("harvest")] == 1) == is_on);
+}
+
 // Guards against claims that the agent can only refuse.
 TEST_CASE("claims that a worker has not started yet count as used") {
     const bool is_on = with_mechanism();
--- a/libs/scheduling/tests/world.cpp
+++ b/libs/scheduling/tests/world.cpp
@@ -95,7 +95,9 @@
 }
 
 void fake_runtime::pause(const task_attempt& attempt) {
-    set_state(tasks_.at(attempt), runtime_task_state::paused);
+    if (tasks_.at(attempt).task.state == runtime_task_state::running) {
+        set_state(tasks_.at(attempt), runtime_task_state::paused);
+    }
 }
 
 void fake_runtime::resume(const task_attempt& attempt, std::int64_t lease_ms) {
