--- a/libs/entry/src/entry_services.cpp
+++ b/libs/entry/src/entry_services.cpp
@@ -85,7 +85,7 @@
             values.failure_domain};
 }
 
-constexpr std::size_t control_body_bytes = 16 * 1'048'576;
+constexpr std::size_t control_body_bytes = 16'777'216;
 
 }  // namespace
 
--- a/libs/entry/src/loops.cpp
+++ b/libs/entry/src/loops.cpp
@@ -124,6 +124,7 @@
         (void)table_.commit({{}, {{own.key, own.value}}, {}});
     }
     std::vector<entry_info> registered;
+    registered.reserve(rows.size());
     for (const auto& row : rows) {
         registered.push_back(decode<entry_info>(row.value));
     }
@@ -154,7 +155,7 @@
         for (const auto& known : targets_known_.targets(now)) {
             contacts.push_back({known.worker, known.control});
         }
-        scheduler_.set_known_workers(std::move(contacts));
+        scheduler_.set_known_workers(contacts);
         others = entries_known_.all();
     }
     for (const auto& other : others) {
--- a/libs/entry/src/request_service.cpp
+++ b/libs/entry/src/request_service.cpp
@@ -189,7 +189,7 @@
 request_result request_service::run_once_only(const routed_service& service,
                                               const caller_request& request) {
     claims_.claim(request.id, request.method.duplicates);
-    const request_result result = run_tries(service, request);
+    request_result result = run_tries(service, request);
     if (is_confirmed_not_run(result.code)) {
         claims_.release(request.id, request.method.duplicates);
     }
--- a/libs/entry/src/request_try.cpp
+++ b/libs/entry/src/request_try.cpp
@@ -97,7 +97,7 @@
             result.code = result_code::cancelled_not_run;
             result.message = "the agent confirmed that the request did not run";
         } else if (reply.outcome == cancel_outcome::done) {
-            const auto again =
+            auto again =
                 read_answer(path.connections.call(make_call(request, target, limit, path.time.now(),
                                                             path.keys, traceparent)),
                             request);
--- a/libs/rpc/src/http_server.cpp
+++ b/libs/rpc/src/http_server.cpp
@@ -256,12 +256,12 @@
     return request;
 }
 
-void fill(httplib::Response& to, http_response from) {
+void fill(httplib::Response& to, const http_response& from) {
     to.status = from.status;
-    for (auto& item : from.headers) {
+    for (const auto& item : from.headers) {
         to.set_header(item.name, item.value);
     }
-    to.set_content(std::move(from.body), from.content_type.c_str());
+    to.set_content(from.body, from.content_type.c_str());
 }
 
 http_response run_handler(const http_server::handler& handle, const http_request& request) {
