--- a/libs/entry/src/entry_services.hpp
+++ b/libs/entry/src/entry_services.hpp
@@ -6,7 +6,6 @@
 #include <map>
 #include <memory>
 #include <mutex>
-#include <set>
 #include <thread>
 #include <vector>
 
@@ -105,8 +104,6 @@
     void fetch_configuration_from_entries();
     void accept_configuration(const accepted_configuration& accepted);
     void publish_routes();
-    void submit_declared_jobs();
-    void cancel_undeclared_jobs();
     void send_digest(const entry_info& to);
     void notify_entries(const entry_notice& notice);
     void make_calls(const tick_result& due);
@@ -136,9 +133,6 @@
     entry_scheduler scheduler_;
     target_directory targets_known_;
     entry_directory entries_known_;
-    std::set<job_id> declared_submitted_;
-    // Version up to which jobs that are no longer declared were cancelled.
-    config_version checked_declarations_;
     std::vector<route_target> published_;
 
     mutable std::mutex configuration_mutex_;
--- a/libs/entry/src/loops.cpp
+++ b/libs/entry/src/loops.cpp
@@ -10,7 +10,6 @@
 namespace {
 
 constexpr milliseconds control_call_timeout{1'000};
-constexpr std::size_t job_page_size = 500;
 
 route_target to_route(const known_target& known, const configuration& declared) {
     route_target route;
@@ -102,7 +101,6 @@
     {
         const std::lock_guard lock(control_mutex_);
         scheduler_.set_configuration(accepted.declared, accepted.version);
-        declared_submitted_.clear();
     }
     metrics()
         .gauge_of(metric::configuration_version)
@@ -245,9 +243,6 @@
     if (!due.changed_shards.empty()) {
         notify_entries({config_version(), due.changed_shards});
     }
-    if (!is_leaving_.load()) {
-        submit_declared_jobs();
-    }
     publish_routes();
 }
 
@@ -274,78 +269,4 @@
     }
 }
 
-void entry_services::submit_declared_jobs() {
-    std::shared_ptr<const configuration> declared;
-    {
-        const std::lock_guard lock(configuration_mutex_);
-        declared = accepted_.declared;
-    }
-    if (!declared) {
-        return;
-    }
-    for (const auto& job : declared->jobs) {
-        const std::lock_guard lock(control_mutex_);
-        const auto home = partition_of(job.id.value(), settings_.scheduler.partition_count);
-        if (declared_submitted_.contains(job.id) || !scheduler_.owns(home)) {
-            continue;
-        }
-        const submit_result result = scheduler_.submit(job, true);
-        if (result.code == result_code::store_unavailable ||
-            result.code == result_code::store_outcome_unknown ||
-            result.code == result_code::overloaded) {
-            return;
-        }
-        if (result.code == result_code::job_can_never_run) {
-            // Workers may still announce themselves; the next tick tries again.
-            continue;
-        }
-        declared_submitted_.insert(job.id);
-        if (result.code != result_code::ok) {
-            log_event(log_level::warning, "declared_job_refused",
-                      {{"job", job.id}, {"code", result.code}});
-        }
-    }
-    cancel_undeclared_jobs();
-}
-
-void entry_services::cancel_undeclared_jobs() {
-    std::shared_ptr<const configuration> declared;
-    config_version version;
-    {
-        const std::lock_guard lock(configuration_mutex_);
-        declared = accepted_.declared;
-        version = accepted_.version;
-    }
-    const std::lock_guard lock(control_mutex_);
-    if (!scheduler_.owns(partition_number(0)) || checked_declarations_ == version) {
-        return;
-    }
-    std::set<job_id> present;
-    for (const auto& job : declared->jobs) {
-        present.insert(job.id);
-    }
-    job_id after;
-    std::vector<job_id> removed;
-    while (true) {
-        const auto page = scheduler_.list_jobs(after, job_page_size);
-        for (const auto& row : page) {
-            if (row.is_declared && row.state == job_state::active &&
-                !present.contains(row.declaration.id)) {
-                removed.push_back(row.declaration.id);
-            }
-        }
-        if (page.size() < job_page_size) {
-            break;
-        }
-        after = page.back().declaration.id;
-    }
-    const auto results = scheduler_.cancel_many(removed);
-    const bool is_complete =
-        std::all_of(results.begin(), results.end(),
-                    [](const cancel_result& item) { return item.code == result_code::ok; });
-    if (is_complete) {
-        checked_declarations_ = version;
-    }
-}
-
 }  // namespace tanagerpaddle
--- a/scripts/local_system.sh
+++ b/scripts/local_system.sh
@@ -10,8 +10,13 @@
 # The service of the example reserves 16 processors and 32 GiB, so half of a worker is left.
 readonly worker_millicores=48000 worker_mib=163840
 readonly reserved_millicores=16000 reserved_mib=32768
-readonly agent_count=4
+readonly agent_count=${AGENTS:-4}
 readonly load_rate=50
+# Shorter times than the defaults, so that takeover and resumption take seconds. A script that
+# sources this file may set others before.
+: "${scheduler_times:=horizon_s: 6, horizon_renewal_s: 2, worker_lease_s: 4}"
+: "${membership_times:=digest_interval_ms: 500, entry_expiry_ms: 2000}"
+: "${sync_interval_ms:=500}"
 
 declare -A pids=()
 entry_callers=() entry_operators=() entry_control=()
@@ -108,7 +113,6 @@
 # A listening address with a port that the system chooses.
 listen_section() { printf '  %s: {address: 127.0.0.1, port: 0}\n' "$1"; }
 
-# Shorter times than the defaults, so that takeover and resumption fit into the demo.
 common_settings() {
   cat <<END
 role: $1
@@ -125,8 +129,8 @@
   common_settings entry "entry-$1" rosenberg rack-entries
   cat <<END
 platform: {table_url: "http://127.0.0.1:$platform_port", object_url: "http://127.0.0.1:$platform_port"}
-scheduler: {partition_count: 4, horizon_s: 6, horizon_renewal_s: 2, worker_lease_s: 4, sync_interval_ms: 500}
-membership: {digest_interval_ms: 500, entry_expiry_ms: 2000, entries_refresh_s: 2}
+scheduler: {partition_count: 4, $scheduler_times, sync_interval_ms: $sync_interval_ms}
+membership: {$membership_times, entries_refresh_s: 2}
 entry:
 $(listen_section callers)
 $(listen_section operators)
@@ -160,7 +164,7 @@
   common_settings agent "worker-$1" "$(domain_of "$1")" "rack-$1"
   cat <<END
 platform: {object_url: "http://127.0.0.1:$platform_port"}
-scheduler: {partition_count: 4, sync_interval_ms: 500}
+scheduler: {partition_count: 4, sync_interval_ms: $sync_interval_ms}
 agent:
 $(listen_section data)
 $(listen_section control)
