--- a/libs/settings/include/tanagerpaddle/settings.hpp
+++ b/libs/settings/include/tanagerpaddle/settings.hpp
@@ -38,7 +38,6 @@
     std::uint16_t port = 0;
     // Accepted connections at a time; those beyond are answered and closed.
     std::uint32_t connections = 0;
-    std::uint32_t threads = 0;
 };
 
 struct entry_settings {
--- a/libs/settings/src/setting_table.cpp
+++ b/libs/settings/src/setting_table.cpp
@@ -110,26 +110,23 @@
 
 struct listener_keys {
     scope where;
-    std::array<std::string_view, 4> keys;
+    std::array<std::string_view, 3> keys;
     std::string_view port;
     std::string_view connections;
-    std::string_view threads;
 };
 
-// The four keys of a listening server.
+// The keys of a listening server.
 template <auto... Path>
-constexpr std::array<setting_descriptor, 4> listener(const listener_keys& l) {
+constexpr std::array<setting_descriptor, 3> listener(const listener_keys& l) {
     using ls = listen_settings;
     return {bind<Path..., &ls::address>(text_row(l.keys[0], address, l.where, "127.0.0.1",
                                                  "IP address the server listens on.")),
             bind<Path..., &ls::port>(number_row(l.keys[1], l.where, l.port, 0, 65'535, "",
                                                 "TCP port; 0 takes any free port.")),
-            bind<Path..., &ls::connections>(
-                number_row(l.keys[2], l.where, l.connections, 1, 65'535, "connections",
-                           "Connections accepted at a time; further ones are answered with "
-                           "too_many_connections and closed.")),
-            bind<Path..., &ls::threads>(number_row(l.keys[3], l.where, l.threads, 1, 1'024,
-                                                   "threads", "Threads that serve connections."))};
+            bind<Path..., &ls::connections>(number_row(
+                l.keys[2], l.where, l.connections, 1, 65'535, "connections",
+                "Connections accepted at a time; further ones are answered with "
+                "too_many_connections and closed. Each has a thread while it is open."))};
 }
 
 constexpr std::array general_rows{
@@ -148,25 +145,19 @@
 
 constexpr auto callers_rows = listener<&st::entry, &entry_settings::callers>(
     {scope::entry,
-     {"entry.callers.address", "entry.callers.port", "entry.callers.connections",
-      "entry.callers.threads"},
+     {"entry.callers.address", "entry.callers.port", "entry.callers.connections"},
      "7300",
-     "1024",
-     "64"});
+     "1024"});
 constexpr auto operators_rows = listener<&st::entry, &entry_settings::operators>(
     {scope::entry,
-     {"entry.operators.address", "entry.operators.port", "entry.operators.connections",
-      "entry.operators.threads"},
+     {"entry.operators.address", "entry.operators.port", "entry.operators.connections"},
      "7301",
-     "64",
-     "4"});
+     "64"});
 constexpr auto control_rows = listener<&st::entry, &entry_settings::control>(
     {scope::entry,
-     {"entry.control.address", "entry.control.port", "entry.control.connections",
-      "entry.control.threads"},
+     {"entry.control.address", "entry.control.port", "entry.control.connections"},
      "7302",
-     "512",
-     "16"});
+     "512"});
 
 constexpr std::array platform_rows{
     bind<&st::platform, &platform_settings::table_url>(
@@ -220,17 +211,14 @@
 
 constexpr auto agent_data_rows = listener<&st::agent, &agent_settings::data>(
     {scope::agent,
-     {"agent.data.address", "agent.data.port", "agent.data.connections", "agent.data.threads"},
+     {"agent.data.address", "agent.data.port", "agent.data.connections"},
      "7400",
-     "256",
-     "32"});
+     "256"});
 constexpr auto agent_control_rows = listener<&st::agent, &agent_settings::control>(
     {scope::agent,
-     {"agent.control.address", "agent.control.port", "agent.control.connections",
-      "agent.control.threads"},
+     {"agent.control.address", "agent.control.port", "agent.control.connections"},
      "7401",
-     "64",
-     "4"});
+     "64"});
 
 constexpr std::array agent_rows{
     bind<&st::agent, &agent_settings::target_url>(text_row("agent.target_url", url, scope::agent,
