entry: answer /metrics; ask the owner about a job's tasks

Cause: /metrics answered 500, because the gauge of requests in flight was set without its label. jobs show and explain asked any entry, and only the owner knows which tasks run, so running tasks were shown as claimed. Both were seen when the tour of the README was run.

--- a/libs/entry/src/control_service.cpp
+++ b/libs/entry/src/control_service.cpp
@@ -13,6 +13,7 @@
                          [this](const std::string& params) { return serve_notice(params); });
     control_methods_.add("entry.config",
                          [this](const std::string&) { return serve_configuration(); });
+    mount_job_views();
     control_methods_.mount(control, keys_);
 }
 
--- a/libs/entry/src/entry_services.hpp
+++ b/libs/entry/src/entry_services.hpp
@@ -93,6 +93,11 @@
     [[nodiscard]] http_response cancel_job(const http_request& request);
     [[nodiscard]] http_response cancel_jobs(const http_request& request);
     [[nodiscard]] http_response explain_job(const http_request& request);
+    [[nodiscard]] http_response view_job(const std::string& method, const std::string& id);
+    [[nodiscard]] std::optional<entry_info> owner_of_job(const job_id& id);
+    [[nodiscard]] std::string describe_job(const std::string& id);
+    [[nodiscard]] std::string describe_waits(const std::string& id);
+    void mount_job_views();
     [[nodiscard]] http_response show_decisions();
     [[nodiscard]] http_response show_metrics();
 
--- a/libs/entry/src/operator_api.cpp
+++ b/libs/entry/src/operator_api.cpp
@@ -263,8 +263,21 @@
 
 http_response entry_services::show_metrics() {
     metrics()
-        .gauge_of(metric::requests_in_flight)
+        .gauge_of(metric::requests_in_flight, {"all"})
         .set(static_cast<std::int64_t>(requests_.in_flight()));
+    {
+        const std::lock_guard lock(control_mutex_);
+        std::int64_t pending = 0;
+        const auto owned = scheduler_.partitions();
+        for (const auto& partition : owned) {
+            pending += partition.pending_tasks;
+        }
+        metrics().gauge_of(metric::tasks_pending).set(pending);
+        metrics().gauge_of(metric::partitions_owned).set(static_cast<std::int64_t>(owned.size()));
+    }
+    metrics()
+        .gauge_of(metric::invariants_checked)
+        .set(static_cast<std::int64_t>(invariant_checks()));
     http_response response;
     response.content_type = "text/plain; version=0.0.4";
     response.body = metrics().prometheus_text();
--- a/libs/entry/src/operator_jobs.cpp
+++ b/libs/entry/src/operator_jobs.cpp
@@ -14,6 +14,7 @@
 constexpr std::size_t default_page_size = 100;
 constexpr std::size_t largest_page_size = 1'000;
 constexpr std::size_t most_cancellations = 20'000;
+constexpr milliseconds owner_timeout{1'000};
 
 http_response json_response(const json& value) {
     http_response response;
@@ -103,15 +104,75 @@
 }
 
 http_response entry_services::show_job(const http_request& request) {
+    return view_job("entry.job", request.captures.at(0));
+}
+
+// The owner of a job's partition knows more than the table: which tasks run, and what others wait
+// for. Another entry passes the question on and answers by the table if the owner does not.
+http_response entry_services::view_job(const std::string& method, const std::string& id) {
+    if (const auto owner = owner_of_job(job_id(id))) {
+        try {
+            http_response response;
+            response.body = control_rpc_.call(owner->control, method, json{{"id", id}}.dump(),
+                                              deadline::after(time_.now(), owner_timeout)) +
+                            "\n";
+            return response;
+        } catch (const error& failure) {
+            log_event(log_level::warning, "owner_not_asked",
+                      {{"entry", owner->id}, {"code", failure.code()}});
+        }
+    }
+    http_response response;
+    response.body = (method == "entry.job" ? describe_job(id) : describe_waits(id)) + "\n";
+    return response;
+}
+
+std::optional<entry_info> entry_services::owner_of_job(const job_id& id) {
     const std::lock_guard lock(control_mutex_);
-    const job_status status = scheduler_.status(job_id(request.captures.at(0)));
+    for (const auto& item : scheduler_.explain(id)) {
+        if (item.owner.empty() || item.owner == self_.id) {
+            continue;
+        }
+        for (const auto& entry : entries_known_.live(time_.now())) {
+            if (entry.id == item.owner) {
+                return entry;
+            }
+        }
+    }
+    return std::nullopt;
+}
+
+std::string entry_services::describe_job(const std::string& id) {
+    const std::lock_guard lock(control_mutex_);
+    const job_status status = scheduler_.status(job_id(id));
     json tasks = json::array();
     for (const auto& task : status.tasks) {
         json item = json::parse(encode_complete(task));
         item["state"] = name(task.state);
         tasks.push_back(std::move(item));
     }
-    return json_response({{"job", job_json(status.job)}, {"tasks", tasks}});
+    return json{{"job", job_json(status.job)}, {"tasks", tasks}}.dump();
+}
+
+std::string entry_services::describe_waits(const std::string& id) {
+    json result = json::array();
+    const std::lock_guard lock(control_mutex_);
+    for (const auto& item : scheduler_.explain(job_id(id))) {
+        result.push_back(explanation_json(item));
+    }
+    return result.dump();
+}
+
+void entry_services::mount_job_views() {
+    const auto id_of = [](const std::string& params) {
+        return json::parse(params).at("id").get<std::string>();
+    };
+    control_methods_.add("entry.job", [this, id_of](const std::string& params) {
+        return describe_job(id_of(params));
+    });
+    control_methods_.add("entry.explain", [this, id_of](const std::string& params) {
+        return describe_waits(id_of(params));
+    });
 }
 
 http_response entry_services::submit_job(const http_request& request) {
@@ -187,12 +248,7 @@
 }
 
 http_response entry_services::explain_job(const http_request& request) {
-    json result = json::array();
-    const std::lock_guard lock(control_mutex_);
-    for (const auto& item : scheduler_.explain(job_id(request.captures.at(0)))) {
-        result.push_back(explanation_json(item));
-    }
-    return json_response(result);
+    return view_job("entry.explain", request.captures.at(0));
 }
 
 }  // namespace tanagerpaddle
