--- a/libs/protocol/include/tanagerpaddle/protocol.hpp
+++ b/libs/protocol/include/tanagerpaddle/protocol.hpp
@@ -271,7 +271,7 @@
     epoch_number epoch;
     // How long after each write of the row the owner may grant leases, in ms.
     std::int64_t horizon_ms = 0;
-    // The owner gave the partition up: no lease of it is running out.
+    // The owner gave the partition up; leases that it granted end within horizon_ms.
     bool is_released = false;
 };
 
