scheduling: ask a silent worker's runtime before its tasks are reclaimed

Cause: while an agent is frozen nobody hears of the tasks that end on its worker. Ruled out: a longer lease, which only makes the window wider, and reports of the agent after it wakes up, which come after the second run. Change: agents name their runtime in each sync. Once the lease of a silent worker has ended, the owner asks that runtime for its tasks, records what has ended there, and reclaims the rest; without an answer it reclaims after three calls of 1 s.

--- a/libs/agent/src/agent_parts.cpp
+++ b/libs/agent/src/agent_parts.cpp
@@ -220,6 +220,7 @@
     identity.domain = settings_.failure_domain;
     identity.rack = settings_.rack;
     identity.control = {settings_.agent.control.address, control_server_.port()};
+    identity.runtime = parse_url(settings_.agent.runtime_url);
     tasks_ =
         std::make_unique<agent_tasks>(options, identity, ledger_, *runtime_, time_, incarnation_);
     sync_loop_options loop_options;
--- a/libs/entry/src/entry_services.hpp
+++ b/libs/entry/src/entry_services.hpp
@@ -112,6 +112,7 @@
     void send_digest(const entry_info& to);
     void notify_entries(const entry_notice& notice);
     void make_calls(const tick_result& due);
+    void ask_runtime(const runtime_query& query);
     [[nodiscard]] bool is_ready() const;
 
     settings settings_;
--- a/libs/entry/src/loops.cpp
+++ b/libs/entry/src/loops.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 
 #include "entry_services.hpp"
+#include "tanagerpaddle/telemetry.hpp"
 
 namespace tanagerpaddle {
 
@@ -267,6 +268,31 @@
                  self_.control.address + "\",\"port\":" + std::to_string(self_.control.port) +
                  "}}");
     }
+    for (const auto& query : due.runtimes) {
+        (void)control_calls_.try_run([this, query] { ask_runtime(query); });
+    }
+}
+
+void entry_services::ask_runtime(const runtime_query& query) {
+    platform_client_options options;
+    options.address = query.runtime.address;
+    options.port = query.runtime.port;
+    options.connect_timeout = control_call_timeout;
+    options.call_timeout = control_call_timeout;
+    options.connections = 1;
+    try {
+        const auto tasks = http_worker_runtime(options).list();
+        log_event(log_level::info, "runtime_answered",
+                  {{"worker", query.worker.value()}, {"tasks", tasks.size()}});
+        const std::lock_guard lock(control_mutex_);
+        scheduler_.set_runtime_tasks(query.worker, tasks);
+    } catch (const error& failure) {
+        // The scheduler asks again, and after a limit goes by the lease alone.
+        log_event(log_level::warning, "runtime_unreachable",
+                  {{"worker", query.worker.value()},
+                   {"runtime", to_string(query.runtime)},
+                   {"message", failure.what()}});
+    }
 }
 
 }  // namespace tanagerpaddle
--- a/libs/protocol/include/tanagerpaddle/protocol.hpp
+++ b/libs/protocol/include/tanagerpaddle/protocol.hpp
@@ -126,6 +126,9 @@
     incarnation_number incarnation;
     std::uint64_t sequence = 0;
     endpoint control;
+    // The worker's runtime, which outlives the agent; without an address it is asked by nobody
+    // else.
+    endpoint runtime;
     failure_domain_id domain;
     rack_id rack;
     resources capacity;
--- a/libs/protocol/src/json.cpp
+++ b/libs/protocol/src/json.cpp
@@ -175,8 +175,8 @@
                    speed_percent, run_ms)
 TANAGERPADDLE_JSON(task_report, sequence, attempt, kind, code, checkpoint, progress, run_ms)
 TANAGERPADDLE_JSON(target_report, id, service, data, slots, busy_slots, is_healthy, p99_us)
-TANAGERPADDLE_JSON(sync_request, worker, incarnation, sequence, control, domain, rack, capacity,
-                   free, tasks, reports, targets, configuration, epoch, is_leaving)
+TANAGERPADDLE_JSON(sync_request, worker, incarnation, sequence, control, runtime, domain, rack,
+                   capacity, free, tasks, reports, targets, configuration, epoch, is_leaving)
 TANAGERPADDLE_JSON(start_permit, attempt, kind, demand, valid_ms, run_time_ms, command, checkpoint,
                    can_checkpoint)
 TANAGERPADDLE_JSON(task_order, attempt, kind, speed_percent)
--- a/libs/scheduling/include/tanagerpaddle/scheduling.hpp
+++ b/libs/scheduling/include/tanagerpaddle/scheduling.hpp
@@ -45,6 +45,8 @@
     bool confirm_void_claims = true;
     // A takeover counts only once its write is known to be committed.
     bool require_committed_takeover = true;
+    // The runtime of a silent worker is asked what has ended before its tasks are reclaimed.
+    bool ask_runtime_before_reclaim = true;
 };
 
 struct scheduler_options {
@@ -70,6 +72,9 @@
     milliseconds ownership_interval{1'000};
     // Pending groups that have found no room for this long move to a partition with room.
     milliseconds move_after{5'000};
+    // Tasks of a silent worker whose runtime does not answer either are reclaimed after this time:
+    // three calls of 1 s.
+    milliseconds runtime_answer_limit{3'000};
     // A worker without a sync for this long gets no new claims.
     milliseconds silent_after{6'000};
     // A task that failed this often ends as failed.
@@ -124,15 +129,37 @@
     epoch_number epoch;
 };
 
+// A question to the runtime of a worker whose agent is silent and whose lease has ended.
+struct runtime_query {
+    worker_id worker;
+    endpoint runtime;
+};
+
 struct tick_result {
     // Workers that have something to fetch: call agent.wake.
     std::vector<worker_contact> wakes;
     // Workers to ask after a takeover: call agent.inventory.
     std::vector<inventory_query> inventories;
+    // Runtimes to ask for their tasks: pass the answers to set_runtime_tasks().
+    std::vector<runtime_query> runtimes;
     // Partitions of other owners whose shards this entry changed: call entry.notify.
     std::vector<partition_number> changed_shards;
 };
 
+enum class runtime_task_state : std::uint8_t { running, paused, finished, failed };
+
+// A task as the worker's runtime knows it.
+struct runtime_task {
+    task_attempt attempt;
+    runtime_task_state state = runtime_task_state::running;
+    resources demand;
+    double progress = 0;
+    std::string checkpoint;
+    millicores used_processors;
+    std::int64_t run_ms = 0;
+    std::uint32_t speed_percent = 100;
+};
+
 struct submit_result {
     // ok, malformed_request, quota_unknown_team, job_can_never_run, job_already_exists,
     // overloaded (write budget), store_unavailable or store_outcome_unknown.
@@ -270,6 +297,9 @@
                                std::vector<team_usage> usage);
     // Agents known from membership, so that a new owner can ask them. Optional.
     void set_known_workers(const std::vector<worker_contact>& workers);
+    // What the runtime of a silent worker answered to a question of tick(). Tasks that it has seen
+    // end are recorded as such; the worker's other tasks are reclaimed.
+    void set_runtime_tasks(const worker_id& worker, const std::vector<runtime_task>& tasks);
     // Replaces the declared run time. The estimator must outlive the scheduler.
     void set_estimator(run_time_estimator& estimator);
 
@@ -315,20 +345,6 @@
 // ---------------------------------------------------------------------------------------------
 // Agent
 
-enum class runtime_task_state : std::uint8_t { running, paused, finished, failed };
-
-// A task as the worker's runtime knows it.
-struct runtime_task {
-    task_attempt attempt;
-    runtime_task_state state = runtime_task_state::running;
-    resources demand;
-    double progress = 0;
-    std::string checkpoint;
-    millicores used_processors;
-    std::int64_t run_ms = 0;
-    std::uint32_t speed_percent = 100;
-};
-
 // The worker's runtime. Each call throws error(connection_refused) or another code that means
 // "not run" if it had no effect, and error(outcome_unknown) if it may have had one. The runtime
 // pauses a task by itself when the task's lease is not renewed in time.
@@ -383,6 +399,8 @@
     failure_domain_id domain;
     rack_id rack;
     endpoint control;
+    // Empty if no other machine reaches the runtime.
+    endpoint runtime = {};
 };
 
 class agent_state;
--- a/libs/scheduling/src/agent_sync.cpp
+++ b/libs/scheduling/src/agent_sync.cpp
@@ -78,6 +78,7 @@
     request.incarnation = incarnation;
     request.sequence = ++sequence;
     request.control = identity.control;
+    request.runtime = identity.runtime;
     request.domain = identity.domain;
     request.rack = identity.rack;
     request.capacity = ledger.capacity();
--- a/libs/scheduling/src/entry_scheduler.cpp
+++ b/libs/scheduling/src/entry_scheduler.cpp
@@ -87,6 +87,11 @@
     }
 }
 
+void entry_scheduler::set_runtime_tasks(const worker_id& worker,
+                                        const std::vector<runtime_task>& tasks) {
+    state_->take_runtime_tasks(worker, tasks);
+}
+
 void entry_scheduler::set_estimator(run_time_estimator& estimator) {
     state_->estimator = &estimator;
 }
@@ -99,6 +104,9 @@
         result.wakes.push_back({worker, control});
     }
     result.inventories = std::exchange(state.inventories, {});
+    for (auto& [worker, runtime] : std::exchange(state.runtime_queries, {})) {
+        result.runtimes.push_back({worker, runtime});
+    }
     const auto changed = std::exchange(state.changed_shards, {});
     result.changed_shards.assign(changed.begin(), changed.end());
     return result;
--- a/libs/scheduling/src/records.cpp
+++ b/libs/scheduling/src/records.cpp
@@ -13,6 +13,8 @@
 constexpr milliseconds refusal_pause{1'000};
 // Doubling stops here, so that the backoff stays far below the deadlines of batch jobs.
 constexpr std::uint32_t most_backoff_doublings = 6;
+// A call to a runtime takes at most 1 s; a question is repeated after that.
+constexpr milliseconds runtime_ask_interval{1'000};
 
 void make_pending(task_record& record) {
     record.state = task_state::pending;
@@ -239,6 +241,10 @@
                 (!claim->second.is_handed_out ||
                  (worker != p.workers.end() && !lease_ran_out(p, record.worker) &&
                   worker->second.incarnation == claim->second.handed_to));
+            if (!certainly_not_started && lease_ran_out(p, record.worker) &&
+                awaits_runtime(p, record.worker)) {
+                continue;
+            }
             reclaim(p, attempt, changed, group.row.declaration, !certainly_not_started,
                     certainly_not_started ? "the permit ended unused"
                                           : "the worker no longer holds the task");
@@ -246,6 +252,49 @@
     }
 }
 
+bool scheduler_state::awaits_runtime(partition_state& p, const worker_id& id) {
+    const auto found = p.workers.find(id);
+    if (!options.mechanisms.ask_runtime_before_reclaim || found == p.workers.end() ||
+        found->second.runtime.address.empty() || found->second.has_runtime_answered) {
+        return false;
+    }
+    worker_record& worker = found->second;
+    const instant present = now();
+    if (!worker.runtime_first_asked_at) {
+        worker.runtime_first_asked_at = present;
+    } else if (present >= *worker.runtime_first_asked_at + options.runtime_answer_limit) {
+        return false;
+    } else if (present < worker.runtime_asked_at + runtime_ask_interval) {
+        return true;
+    }
+    worker.runtime_asked_at = present;
+    runtime_queries[id] = worker.runtime;
+    return true;
+}
+
+void scheduler_state::take_runtime_tasks(const worker_id& id,
+                                         const std::vector<runtime_task>& tasks) {
+    partition_state* p = owned(partition_of(id.value(), options.partition_count));
+    const auto found = p ? p->workers.find(id) : decltype(p->workers.find(id)){};
+    if (!p || found == p->workers.end() || !found->second.runtime_first_asked_at) {
+        return;  // the agent has spoken since, or another entry decides
+    }
+    found->second.has_runtime_answered = true;
+    for (const auto& task : tasks) {
+        const bool has_finished = task.state == runtime_task_state::finished;
+        if (!has_finished && task.state != runtime_task_state::failed) {
+            continue;
+        }
+        task_report report;
+        report.attempt = task.attempt;
+        report.kind = has_finished ? report_kind::finished : report_kind::failed;
+        report.code = has_finished ? result_code::ok : result_code::task_failed;
+        report.progress = task.progress;
+        report.run_ms = task.run_ms;
+        p->reports[{report.attempt, report.kind}] = {id, report};
+    }
+}
+
 void scheduler_state::reclaim(partition_state& p, const task_attempt& attempt, task_record& record,
                               const job_declaration& job, bool may_have_started,
                               const std::string& cause) {
--- a/libs/scheduling/src/scheduler_state.hpp
+++ b/libs/scheduling/src/scheduler_state.hpp
@@ -18,6 +18,7 @@
     incarnation_number incarnation;
     std::uint64_t sequence = 0;
     endpoint control;
+    endpoint runtime;
     failure_domain_id domain;
     rack_id rack;
     resources capacity;
@@ -36,6 +37,10 @@
     // No new claims before this time.
     instant avoided_until;
     std::uint32_t failures_in_a_row = 0;
+    // When the runtime was first and last asked since the agent fell silent.
+    std::optional<instant> runtime_first_asked_at;
+    instant runtime_asked_at;
+    bool has_runtime_answered = false;
 };
 
 // A claim of this epoch. Kept until the attempt has ended.
@@ -185,6 +190,9 @@
     void reclaim(partition_state& p, const task_attempt& attempt, task_record& record,
                  const job_declaration& job, bool may_have_started, const std::string& cause);
     void finish_expired_holds(partition_state& p, group_edits& edits);
+    // The runtime of a silent worker may still tell what became of its tasks.
+    [[nodiscard]] bool awaits_runtime(partition_state& p, const worker_id& worker);
+    void take_runtime_tasks(const worker_id& worker, const std::vector<runtime_task>& tasks);
     [[nodiscard]] bool lease_ran_out(const partition_state& p, const worker_id& worker) const;
     [[nodiscard]] bool is_gone(const partition_state& p, const task_attempt& attempt,
                                const task_record& record) const;
@@ -304,6 +312,7 @@
 
     std::map<worker_id, endpoint> wakes;
     std::vector<inventory_query> inventories;
+    std::map<worker_id, endpoint> runtime_queries;
     std::set<partition_number> changed_shards;
     scheduler_counters counts;
     std::deque<decision> decisions;
--- a/libs/scheduling/src/sync.cpp
+++ b/libs/scheduling/src/sync.cpp
@@ -86,6 +86,9 @@
     }
     worker.sequence = request.sequence;
     worker.control = request.control;
+    worker.runtime = request.runtime;
+    worker.runtime_first_asked_at.reset();
+    worker.has_runtime_answered = false;
     worker.domain = request.domain;
     worker.rack = request.rack;
     worker.capacity = request.capacity;
--- a/libs/scheduling/tests/agent_failures_test.cpp
+++ b/libs/scheduling/tests/agent_failures_test.cpp
@@ -123,6 +123,42 @@
     CHECK(agent.tasks->held_tasks() == 0);
 }
 
+// Guards against work that is done twice because nobody heard of its end before the lease ended.
+TEST_CASE("a task that finished while its agent was frozen is not run again") {
+    const bool is_on = with_mechanism();
+    auto chosen = world::default_options();
+    chosen.mechanisms.ask_runtime_before_reclaim = is_on;
+    world w(chosen);
+    w.add_entry();
+    agent_node& agent = w.add_worker("w1");
+    w.run(seconds(3));
+    REQUIRE(w.entries[0]->scheduler->submit(make_job("harvest", 3000, seconds(1)), false).is_new);
+    REQUIRE(w.run_until([&] { return w.record.starts.size() == 1; }, seconds(5)));
+    agent.is_frozen = true;
+    w.add_worker("w2");
+    CHECK(w.run_until([&] { return is_terminal(w.state_of("harvest")); }, seconds(90)));
+    INFO("finishes " << w.record.finishes_of[first_task("harvest")]);
+    CHECK((w.record.finishes_of[first_task("harvest")] == 1) == is_on);
+    agent.is_frozen = false;
+    w.run(seconds(10));
+    CHECK(agent.tasks->held_tasks() == 0);
+}
+
+// Guards against tasks that wait for a machine that is gone with its runtime.
+TEST_CASE("tasks of a worker whose runtime does not answer are reclaimed after the lease") {
+    world w;
+    w.add_entry();
+    agent_node& agent = w.add_worker("w1");
+    w.run(seconds(3));
+    REQUIRE(w.entries[0]->scheduler->submit(make_job("harvest", 3000), false).is_new);
+    REQUIRE(w.run_until([&] { return w.record.starts.size() == 1; }, seconds(5)));
+    agent.is_cut_off = true;
+    w.add_worker("w2");
+    const auto limit = w.options.worker_lease + w.options.runtime_answer_limit + seconds(4);
+    CHECK(w.run_until([&] { return w.record.starts.size() == 2; }, limit));
+    CHECK(w.record.double_runs == 0);
+}
+
 // Guards against a task that is lost twice or resumed twice because its eviction was repeated.
 TEST_CASE("an eviction that is reported again after the task was resumed has no effect") {
     const bool is_on = with_mechanism();
--- a/libs/scheduling/tests/world.cpp
+++ b/libs/scheduling/tests/world.cpp
@@ -148,6 +148,7 @@
     node->identity.worker = worker_id(name);
     node->identity.domain = failure_domain_id(domain);
     node->identity.control.address = name;
+    node->identity.runtime.address = name + "-runtime";
     node->capacity = {millicores(processors), mebibytes(16'000), accelerator_count(0)};
     node->options = chosen;
     node->runtime =
@@ -199,6 +200,14 @@
     }
 }
 
+void world::answer_runtime_query(entry_scheduler& scheduler, const runtime_query& query) {
+    for (auto& agent : agents) {
+        if (agent->identity.runtime == query.runtime && !agent->is_cut_off) {
+            scheduler.set_runtime_tasks(query.worker, agent->runtime->list());
+        }
+    }
+}
+
 void world::run(milliseconds duration) {
     constexpr milliseconds step{100};
     for (milliseconds passed{0}; passed < duration; passed += step) {
@@ -216,6 +225,9 @@
                     agent->is_woken = agent->is_woken || wake.worker == agent->identity.worker;
                 }
             }
+            for (const auto& query : result.runtimes) {
+                answer_runtime_query(*entry->scheduler, query);
+            }
             for (const auto shard : result.changed_shards) {
                 for (auto& other : entries) {
                     other->scheduler->note_shard_changed(shard);
--- a/libs/scheduling/tests/world.hpp
+++ b/libs/scheduling/tests/world.hpp
@@ -123,6 +123,7 @@
     // Runs until the condition holds, for at most `limit`.
     bool run_until(const std::function<bool()>& condition, milliseconds limit);
     void sync(agent_node& agent);
+    void answer_runtime_query(entry_scheduler& scheduler, const runtime_query& query);
     [[nodiscard]] task_state state_of(const std::string& job, std::size_t entry = 0);
     [[nodiscard]] job_row row_of(const std::string& job);
     // Writes domain/<name> as an accepted configuration would.
--- a/libs/settings/src/setting_table.cpp
+++ b/libs/settings/src/setting_table.cpp
@@ -224,9 +224,9 @@
     bind<&st::agent, &agent_settings::target_url>(text_row("agent.target_url", url, scope::agent,
                                                            "http://127.0.0.1:7200",
                                                            "The target beside the agent.")),
-    bind<&st::agent, &agent_settings::runtime_url>(text_row("agent.runtime_url", url, scope::agent,
-                                                            "http://127.0.0.1:7201",
-                                                            "The worker's task runtime.")),
+    bind<&st::agent, &agent_settings::runtime_url>(
+        text_row("agent.runtime_url", url, scope::agent, "http://127.0.0.1:7201",
+                 "The worker's task runtime; entries ask it there when the agent is silent.")),
     bind<&st::agent, &agent_settings::service>(text_row("agent.service", setting_type::name,
                                                         scope::agent, "service-1",
                                                         "Service that the target runs.")),
