dispatch: learn interference by differences; hold fillers back while a task stays slow

Cause: the model kept one own load for each serving image, although it differs by machine and swings over seconds. Its error went into the pressures, so that fillers which disturb nobody were paced to 0 whenever a serving task was busy by itself. Logs of samples show that pairs of images are either harmless (below 0.2 of a utilisation for a whole machine) or heavy (0.65 to 1.3). Change: a Kalman filter for each pair follows the differences between successive samples of one machine; pairs below 0.25 count as harmless and are neither paced nor moved. A serving task that is over its target for 1 s, which the model does not explain, has all fillers beside it held back.

--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -264,12 +264,14 @@
 // How much fillers of an image press on serving tasks of another, learned for each pair of images.
 // A serving task behaves like a queue: its tail grows as floor / (1 - utilisation). Utilisation is
 // its own load plus, for each filler, the pair's pressure times the filler's share of the machine's
-// processors. Tails are turned into utilisations, in which the pressures are linear, and a
-// normalised least mean squares filter follows them.
+// processors. The own load is unknown and differs by machine, but it changes slowly: a Kalman
+// filter follows the pressures by the differences between successive samples of one machine.
 class interference_model {
 public:
-    void observe(const interference_sample& sample);
-    // Utilisation added by a filler that uses the whole machine.
+    // `source` names the machine; samples of one machine come in order.
+    void observe(const std::string& source, instant now, const interference_sample& sample);
+    // Utilisation added by a filler that uses the whole machine; 0 for a pair whose fillers are not
+    // told apart from harmless ones.
     [[nodiscard]] double pressure(const std::string& serving, const std::string& filler) const;
     // The part of a task's utilisation that fillers do not explain.
     [[nodiscard]] double own_load(const interference_sample::serving& task,
@@ -277,36 +279,53 @@
     // The utilisation up to which fillers are welcome.
     [[nodiscard]] double limit(const std::string& serving, milliseconds target) const;
     using pressure_table = std::map<std::string, std::map<std::string, double>>;
-    [[nodiscard]] const pressure_table& pressures() const noexcept { return pressures_; }
+    // The pressure of each pair that was seen together.
+    [[nodiscard]] pressure_table pressures() const;
     void set(const std::string& serving, const std::string& filler, double pressure_value);
     // Grows with each change.
     [[nodiscard]] std::uint64_t revision() const noexcept { return revision_; }
 
 private:
-    [[nodiscard]] double load(const std::string& serving) const;
+    struct estimate {
+        double mean;
+        double variance;
+    };
+    struct earlier_sample {
+        instant at;
+        interference_sample sample;
+    };
+
     [[nodiscard]] double floor_of(const std::string& serving, milliseconds target) const;
     [[nodiscard]] double utilisation(const std::string& serving, milliseconds target,
                                      double tail_ms) const;
+    void learn_difference(const interference_sample::serving& task,
+                          const interference_sample::serving& earlier,
+                          const std::map<std::string, double>& changes, double seconds);
 
     // Keyed by serving image, then by the filler's.
-    pressure_table pressures_;
+    std::map<std::string, std::map<std::string, estimate>> estimates_;
+    std::map<std::string, earlier_sample> earlier_;
     std::uint64_t revision_ = 0;
-    std::map<std::string, double> loads_;
     std::map<std::string, double> floors_;
 };
 
 // Decides how much of their processors the fillers of each image may use on one machine. Answers
 // load in which batch work makes a serving task miss its target: the images that press least run
-// first, the others get what the serving tasks can bear.
+// first, the others get what the serving tasks can bear. A task that stays over its target whatever
+// the model says has all fillers beside it held back until it is well.
 class interference_pacer {
 public:
     // Percent by image.
     const std::map<std::string, int>& update(const interference_model& model,
-                                             const interference_sample& sample);
+                                             const interference_sample& sample, instant now);
     [[nodiscard]] const std::map<std::string, int>& percents() const noexcept { return percents_; }
 
 private:
+    [[nodiscard]] bool is_overdue(const interference_sample& sample, instant now);
+
     std::map<std::string, int> percents_;
+    // Serving images over their target, and since when.
+    std::map<std::string, instant> over_since_;
 };
 
 // ---------------------------------------------------------------------------------------------
--- a/libs/dispatch/src/agent.cpp
+++ b/libs/dispatch/src/agent.cpp
@@ -321,7 +321,7 @@
 
 void agent::update_pace() {
     take_sample();
-    const auto& percents = pacer_.update(model_, sample_);
+    const auto& percents = pacer_.update(model_, sample_, time_.now());
     for (const auto& [key, run] : running_) {
         const auto found = traits_.find(key.first);
         if (found == traits_.end() || !found->second.is_filler) {
--- a/libs/dispatch/src/coordinator.cpp
+++ b/libs/dispatch/src/coordinator.cpp
@@ -298,7 +298,7 @@
     }
     auto& machine = state_->machines[*index];
     machine.sample = sample;
-    state_->interference.observe(sample);
+    state_->interference.observe(name.value(), state_->time.now(), sample);
     for (const auto& run : running) {
         auto* task = state_->find_task(run.task);
         if (task == nullptr || task->machine != index || task->run != run.run) {
--- a/libs/dispatch/src/placement.cpp
+++ b/libs/dispatch/src/placement.cpp
@@ -58,7 +58,12 @@
     const std::int64_t left = machine.free().processors.value() - spec.demand.processors.value();
     const bool serves = machine.serving_demand.value() > 0;
     if (spec.is_filler) {
-        return {penalty, machine.serving_demand.value() > 0 ? 1 : 0, -machine.idle_millicores()};
+        const bool presses =
+            std::any_of(machine.slack.begin(), machine.slack.end(),
+                        [&](const machine_state::slack_entry& entry) {
+                            return context.interference->pressure(entry.image, spec.image) > 0;
+                        });
+        return {penalty, presses ? 1 : 0, -machine.idle_millicores()};
     }
     if (spec.tail_target.count() > 0 && !serves) {
         // The machine whose fillers have the least to lose.
@@ -107,10 +112,10 @@
     }
     double least = 1;
     for (const auto& entry : machine.slack) {
-        const double cost =
-            added == 0 ? 0
-                       : model.pressure(entry.image, image) * static_cast<double>(added) / capacity;
-        least = std::min(least, entry.slack - cost);
+        const double pressure = model.pressure(entry.image, image);
+        if (pressure > 0) {
+            least = std::min(least, entry.slack - pressure * static_cast<double>(added) / capacity);
+        }
     }
     return least;
 }
--- a/libs/dispatch/src/placement.hpp
+++ b/libs/dispatch/src/placement.hpp
@@ -113,8 +113,9 @@
 [[nodiscard]] std::optional<std::size_t> choose_machine(std::vector<machine_state>& machines,
                                                         const ready_step& step,
                                                         const placement_context& context);
-// The least slack of the serving tasks on the machine if `added` more millicores of `image` ran
-// there at full pace, as a utilisation; negative if one would miss its target.
+// The least slack of the serving tasks on the machine that fillers of `image` press on, if `added`
+// more millicores of it ran there at full pace, as a utilisation; negative if one would miss its
+// target.
 [[nodiscard]] double slack_beside(machine_state& machine, const interference_model& model,
                                   const std::string& image, std::int64_t added);
 // True if the executor may ever run the step: service, label, size.
--- a/libs/dispatch/src/planning.cpp
+++ b/libs/dispatch/src/planning.cpp
@@ -388,8 +388,7 @@
         }
     }
     for (auto& machine : machines) {
-        if (!machine.is_linked || !machine.executor ||
-            slack_beside(machine, interference, "", 0) >= 0) {
+        if (!machine.is_linked || !machine.executor || machine.sample.serving_tasks.empty()) {
             continue;
         }
         const std::vector<task_key> keys(machine.tasks.begin(), machine.tasks.end());
@@ -399,7 +398,8 @@
             const bool is_movable = spec.is_filler && task.phase == task_phase::running &&
                                     now - task.since >= least_run_before_move &&
                                     (spec.writes_checkpoints || task.percent <= most_percent_lost);
-            if (is_movable && spec.demand.processors.value() <= idle) {
+            if (is_movable && spec.demand.processors.value() <= idle &&
+                slack_beside(machine, interference, spec.image, 0) < 0) {
                 idle -= spec.demand.processors.value();
                 stop_task(key, task);
             }
--- a/libs/dispatch/tests/interference_test.cpp
+++ b/libs/dispatch/tests/interference_test.cpp
@@ -46,6 +46,10 @@
 constexpr int rounds = 40;
 constexpr milliseconds report_interval{500};
 
+instant at_round(int round) {
+    return instant(std::chrono::hours(1)) + round * report_interval;
+}
+
 }  // namespace
 
 TEST_CASE("a heavy image is known to press more than a light one") {
@@ -54,8 +58,8 @@
     machine simulated;
     for (int i = 0; i < rounds; ++i) {
         const auto sample = simulated.sample();
-        model.observe(sample);
-        simulated.percent = pacer.update(model, sample);
+        model.observe("m1", at_round(i), sample);
+        simulated.percent = pacer.update(model, sample, at_round(i));
     }
     INFO("heavy " << model.pressure("web", "heavy") << " light " << model.pressure("web", "light"));
     CHECK(model.pressure("web", "heavy") > model.pressure("web", "light"));
@@ -80,8 +84,8 @@
             longest_over = std::max(longest_over, over);
             work += simulated.used("heavy") + simulated.used("light");
             if (by_image) {
-                model.observe(sample);
-                simulated.percent = pacer.update(model, sample);
+                model.observe("m1", at_round(i), sample);
+                simulated.percent = pacer.update(model, sample, at_round(i));
             } else {
                 const double ratio = simulated.tail() / static_cast<double>(target.count());
                 pace = ratio >= 1 ? 0 : ratio >= 0.8 ? pace / 2 : std::min(100, pace + 25);
@@ -108,9 +112,9 @@
     simulated.demand = {{"heavy", 16'000}, {"light", 0}};
     simulated.own_load = 0.70;
     simulated.percent = {{"heavy", 0}, {"light", 0}};
-    CHECK(pacer.update(model, simulated.sample()).at("heavy") < 20);
+    CHECK(pacer.update(model, simulated.sample(), at_round(0)).at("heavy") < 20);
     simulated.own_load = 0.05;
-    CHECK(pacer.update(model, simulated.sample()).at("heavy") > 60);
+    CHECK(pacer.update(model, simulated.sample(), at_round(1)).at("heavy") > 60);
 }
 
 TEST_CASE("without serving tasks fillers run at full pace") {
@@ -119,7 +123,7 @@
     machine simulated;
     auto sample = simulated.sample();
     sample.serving_tasks.clear();
-    for (const auto& [image, percent] : pacer.update(model, sample)) {
+    for (const auto& [image, percent] : pacer.update(model, sample, at_round(0))) {
         CHECK(percent == 100);
     }
 }
