dispatch: place serving tasks by image, fillers beside those they do not disturb

Cause: serving tasks filled the fullest machine whatever their image, so that each machine served two or three images and nearly every filler pressed on one of them; fillers preferred machines that serve nobody, and were moved only there. The filter also took changes between overloaded samples at face value, which made heavy images look harmless. Change: a serving task prefers a machine of its image, then one that serves nothing; a filler one whose serving tasks it does not disturb, then one that serves nothing. A filler that is held back moves to any machine that would take it. Overloaded samples can only raise a pressure.

--- a/libs/dispatch/src/coordinator_state.hpp
+++ b/libs/dispatch/src/coordinator_state.hpp
@@ -146,6 +146,8 @@
     void expire_machines();
     void place_ready_steps();
     void relieve_pressed_machines();
+    [[nodiscard]] bool is_worth_moving(const task_key& key, const task_state& task,
+                                       machine_state& machine);
     void stop_stalled_tasks();
     bool place_step(const ready_step& step);
     bool place_gang(const ready_step& step);
--- a/libs/dispatch/src/interference.cpp
+++ b/libs/dispatch/src/interference.cpp
@@ -19,9 +19,9 @@
 // Variance of a tail that is rounded to whole milliseconds, twice that of a uniform distribution of
 // that width: tails are rough.
 constexpr double rounding_variance = 1.0 / 6;
-// Beyond this utilisation the queue never settles within a sample, so that a change tells less.
-constexpr double overloaded = 0.95;
-constexpr double overload_variance = 0.01;
+// Tails beyond this multiple of the target are those of a queue that grows: they say only that the
+// utilisation is at least what they show.
+constexpr double overloaded_tail = 1.5;
 // Samples further apart than this say nothing about a change: the own load has moved on.
 constexpr milliseconds longest_gap{1'500};
 // Pairs below this are taken for harmless: at most 8% of a utilisation for a filler that uses a
@@ -42,6 +42,11 @@
     return static_cast<double>(millicores_used) / static_cast<double>(capacity);
 }
 
+bool is_overloaded(const interference_sample::serving& task) {
+    return static_cast<double>(task.tail.count()) >
+           overloaded_tail * static_cast<double>(task.target.count());
+}
+
 std::map<std::string, double> shares_by_image(const interference_sample& sample) {
     std::map<std::string, double> shares;
     for (const auto& filler : sample.fillers) {
@@ -164,7 +169,7 @@
         const auto tail = static_cast<double>(measured->tail.count());
         const double level = utilisation(task.image, task.target, tail);
         const double slope = floor / (tail * tail);
-        noise += slope * slope * rounding_variance + (level > overloaded ? overload_variance : 0);
+        noise += slope * slope * rounding_variance;
         error += measured == &task ? level : -level;
     }
     auto& known = estimates_[task.image];
@@ -175,6 +180,13 @@
         innovation_variance += pair.variance * change * change;
         error -= pair.mean * change;
     }
+    // An overloaded sample hides part of the change: it can only show more pressure than assumed.
+    const bool is_hidden = (is_overloaded(task) && error < 0) ||
+                           (is_overloaded(earlier) && error > 0) ||
+                           (is_overloaded(task) && is_overloaded(earlier));
+    if (is_hidden) {
+        return;
+    }
     for (const auto& [image, change] : changes) {
         auto& pair = known.at(image);
         const double gain = pair.variance * change / innovation_variance;
--- a/libs/dispatch/src/placement.cpp
+++ b/libs/dispatch/src/placement.cpp
@@ -19,19 +19,69 @@
 // Late jobs earn up to this multiple of their objective.
 constexpr int late_factor = 3;
 
+// A serving task that has not been measured yet may be pressed on a little.
+constexpr double slack_of_unmeasured = 0.1;
+
+std::int64_t used_by_filler(const interference_sample& sample, const std::string& image) {
+    const auto found = std::find_if(sample.fillers.begin(), sample.fillers.end(),
+                                    [&](const auto& filler) { return filler.image == image; });
+    return found == sample.fillers.end() ? 0 : found->used.value();
+}
+
 bool has_label(const executor_info& executor, const std::string& label) {
     return std::find(executor.labels.begin(), executor.labels.end(), label) !=
            executor.labels.end();
 }
 
+double share_of(const machine_state& machine, std::int64_t millicores_used) {
+    const auto capacity = std::max<std::int64_t>(1, machine.executor->capacity.processors.value());
+    return static_cast<double>(millicores_used) / static_cast<double>(capacity);
+}
+
+// What is left of a serving task's utilisation below its limit if all fillers here run at full
+// pace.
+double slack_of(const machine_state& machine, const interference_model& model,
+                const std::string& image) {
+    const auto measured =
+        std::find_if(machine.sample.serving_tasks.begin(), machine.sample.serving_tasks.end(),
+                     [&](const auto& task) { return task.image == image; });
+    if (measured == machine.sample.serving_tasks.end()) {
+        return slack_of_unmeasured;
+    }
+    double used = model.own_load(*measured, machine.sample);
+    for (const auto& [filler, demand] : machine.filler_demand_by_image) {
+        used += model.pressure(image, filler) * share_of(machine, demand);
+    }
+    return model.limit(image, measured->target) - used;
+}
+
+// Computes `slack` and `filler_draw` anew after a change of the model or of the machine's tasks.
+void refresh_slack(machine_state& machine, const interference_model& model) {
+    if (machine.slack_revision == model.revision()) {
+        return;
+    }
+    machine.slack_revision = model.revision();
+    machine.slack.clear();
+    for (const auto& [image, tasks] : machine.serving_tasks_by_image) {
+        machine.slack.push_back({image, slack_of(machine, model, image)});
+    }
+    machine.filler_draw = 0;
+    for (const auto& [image, demand] : machine.filler_demand_by_image) {
+        machine.filler_draw += slack_beside(machine, model, image, 0) >= 0
+                                   ? demand
+                                   : std::min(demand, used_by_filler(machine.sample, image));
+    }
+}
+
 bool fits(machine_state& machine, const ready_step& step, const placement_context& context) {
     const resources free = machine.free();
     resources needed = step.spec->demand;
     if (step.spec->is_filler) {
-        if (!context.only_room_counts &&
-            (machine.idle_millicores() < needed.processors.value() ||
-             slack_beside(machine, *context.interference, step.spec->image,
-                          needed.processors.value()) < 0)) {
+        const bool bears_it = context.only_room_counts ||
+                              (slack_beside(machine, *context.interference, step.spec->image,
+                                            needed.processors.value()) >= 0 &&
+                               machine.idle_millicores() >= needed.processors.value());
+        if (!bears_it) {
             return false;
         }
         needed.processors = millicores(0);
@@ -44,10 +94,31 @@
     return found == machine.tasks_of_step.end() ? 0 : found->second;
 }
 
-// Smaller is better. Tasks with a tail latency target share machines with each other, so that
-// fillers, which would slow them down, find machines of their own; other tasks, which press on
-// nobody, fill the machines that serve and then the fullest ones, which keeps room for wide tasks.
-using score = std::tuple<int, std::int64_t, std::int64_t>;
+// Smaller is better: first penalties, then the kind of machine, then a preference among equals.
+using score = std::tuple<int, int, std::int64_t>;
+
+// Fillers go beside serving tasks that they do not disturb, which keeps machines without serving
+// tasks for the fillers that disturb all of them.
+int filler_preference(const machine_state& machine, const std::string& image,
+                      const interference_model& model) {
+    if (machine.serving_tasks_by_image.empty()) {
+        return 1;
+    }
+    const bool presses =
+        std::any_of(machine.serving_tasks_by_image.begin(), machine.serving_tasks_by_image.end(),
+                    [&](const auto& serving) { return model.pressure(serving.first, image) > 0; });
+    return presses ? 2 : 0;
+}
+
+// Tasks with a tail latency target share machines with others of their image: each image is pressed
+// on by some filler images only, so that the fewer images a machine serves, the more fillers find a
+// machine where they disturb nobody.
+int serving_preference(const machine_state& machine, const std::string& image) {
+    if (machine.serving_tasks_by_image.empty()) {
+        return 1;
+    }
+    return machine.serving_tasks_by_image.contains(image) ? 0 : 2;
+}
 
 score score_of(const machine_state& machine, const ready_step& step,
                const placement_context& context, std::size_t index) {
@@ -56,20 +127,18 @@
         !spec.preferred_rack.empty() && !has_label(*machine.executor, spec.preferred_rack.value());
     const int penalty = (context.avoid == index ? 2 : 0) + (is_far ? 1 : 0);
     const std::int64_t left = machine.free().processors.value() - spec.demand.processors.value();
-    const bool serves = machine.serving_demand.value() > 0;
     if (spec.is_filler) {
-        const bool presses =
-            std::any_of(machine.slack.begin(), machine.slack.end(),
-                        [&](const machine_state::slack_entry& entry) {
-                            return context.interference->pressure(entry.image, spec.image) > 0;
-                        });
-        return {penalty, presses ? 1 : 0, -machine.idle_millicores()};
+        return {penalty, filler_preference(machine, spec.image, *context.interference),
+                -machine.idle_millicores()};
     }
-    if (spec.tail_target.count() > 0 && !serves) {
-        // The machine whose fillers have the least to lose.
-        return {penalty, 1, machine.filler_demand.value()};
+    if (spec.tail_target.count() > 0) {
+        const int preference = serving_preference(machine, spec.image);
+        // Of the machines that serve nothing, the one whose fillers have the least to lose.
+        return {penalty, preference, preference == 1 ? machine.filler_demand.value() : left};
     }
-    return {penalty, serves ? 0 : 1, left};
+    // Others press on nobody: they fill the machines that serve and then the fullest ones, which
+    // keeps room for wide tasks.
+    return {penalty, machine.serving_tasks_by_image.empty() ? 1 : 0, left};
 }
 
 }  // namespace
@@ -92,29 +161,17 @@
 
 std::int64_t machine_state::idle_millicores() const {
     return free().processors.value() + serving_demand.value() * lendable_percent / 100 -
-           filler_demand.value();
+           (slack_revision ? filler_draw : filler_demand.value());
 }
 
 double slack_beside(machine_state& machine, const interference_model& model,
                     const std::string& image, std::int64_t added) {
-    const auto capacity = static_cast<double>(
-        std::max<std::int64_t>(1, machine.executor->capacity.processors.value()));
-    if (machine.slack_revision != model.revision()) {
-        machine.slack_revision = model.revision();
-        machine.slack.clear();
-        for (const auto& task : machine.sample.serving_tasks) {
-            double used = model.own_load(task, machine.sample);
-            for (const auto& [other, demand] : machine.filler_demand_by_image) {
-                used += model.pressure(task.image, other) * static_cast<double>(demand) / capacity;
-            }
-            machine.slack.push_back({task.image, model.limit(task.image, task.target) - used});
-        }
-    }
+    refresh_slack(machine, model);
     double least = 1;
     for (const auto& entry : machine.slack) {
         const double pressure = model.pressure(entry.image, image);
         if (pressure > 0) {
-            least = std::min(least, entry.slack - pressure * static_cast<double>(added) / capacity);
+            least = std::min(least, entry.slack - pressure * share_of(machine, added));
         }
     }
     return least;
--- a/libs/dispatch/src/placement.hpp
+++ b/libs/dispatch/src/placement.hpp
@@ -50,6 +50,10 @@
     std::optional<std::uint64_t> slack_revision;
     // Processors that fillers want, by image.
     std::map<std::string, std::int64_t> filler_demand_by_image;
+    // Processors that fillers can use beside the serving tasks; computed with `slack`.
+    std::int64_t filler_draw = 0;
+    // Tasks with a tail latency target, by image.
+    std::map<std::string, std::uint32_t> serving_tasks_by_image;
     // Tasks of one step of an occurrence.
     std::map<step_key, std::uint32_t> tasks_of_step;
     machine_health health;
@@ -63,7 +67,8 @@
     [[nodiscard]] resources free() const {
         return executor ? executor->capacity - committed : resources{};
     }
-    // Processors that no task has reserved and no filler uses.
+    // Processors that no task has reserved and no filler uses. Fillers that are held back for the
+    // sake of serving tasks do not count, once `slack` is known.
     [[nodiscard]] std::int64_t idle_millicores() const;
 };
 
--- a/libs/dispatch/src/planning.cpp
+++ b/libs/dispatch/src/planning.cpp
@@ -25,6 +25,8 @@
 constexpr milliseconds starvation{1'000};
 // A filler that cannot resume elsewhere only leaves before it has done this share of its work.
 constexpr int most_percent_lost = 15;
+// Moves in one look through the machines: each takes room that the next one must not count on.
+constexpr int most_moves = 4;
 // A run is given this time before it is moved, which costs a restart.
 constexpr milliseconds least_run_before_move{500};
 
@@ -364,7 +366,7 @@
             // A filler may stand still because it is paced, a gang because a member is missing.
             const bool is_watched = task.phase == task_phase::running && !spec.is_long_running &&
                                     !spec.is_gang &&
-                                    !(spec.is_filler && machine.serving_demand.value() > 0);
+                                    !(spec.is_filler && !machine.serving_tasks_by_image.empty());
             const auto limit = std::max(stall, spec.estimate / stall_share);
             if (is_watched && now - task.progressed_at >= limit) {
                 task.failed_on = i;
@@ -375,38 +377,48 @@
     }
 }
 
-// Moves fillers from machines where they are slowed down to idle processors elsewhere.
+// Moves fillers that are held back for the sake of serving tasks to machines where they can work.
 void coordinator::state::relieve_pressed_machines() {
-    const instant now = time.now();
     placement_context context;
-    context.now = now;
+    context.now = time.now();
     context.evacuated = &evacuated;
-    std::int64_t idle = 0;
-    for (const auto& machine : machines) {
-        if (accepts_starts(machine, context) && machine.serving_demand.value() == 0) {
-            idle += std::max<std::int64_t>(0, machine.idle_millicores());
-        }
-    }
-    for (auto& machine : machines) {
-        if (!machine.is_linked || !machine.executor || machine.sample.serving_tasks.empty()) {
+    context.interference = &interference;
+    int moves = 0;
+    for (std::size_t i = 0; i < machines.size(); ++i) {
+        auto& machine = machines[i];
+        if (!machine.is_linked || !machine.executor || machine.serving_tasks_by_image.empty()) {
             continue;
         }
+        context.avoid = i;
         const std::vector<task_key> keys(machine.tasks.begin(), machine.tasks.end());
         for (const auto& key : keys) {
             auto& task = *find_task(key);
-            const auto& spec = spec_of(key);
-            const bool is_movable = spec.is_filler && task.phase == task_phase::running &&
-                                    now - task.since >= least_run_before_move &&
-                                    (spec.writes_checkpoints || task.percent <= most_percent_lost);
-            if (is_movable && spec.demand.processors.value() <= idle &&
-                slack_beside(machine, interference, spec.image, 0) < 0) {
-                idle -= spec.demand.processors.value();
+            if (moves >= most_moves || !is_worth_moving(key, task, machine)) {
+                continue;
+            }
+            ready_step step;
+            step.key = {key.job, key.occurrence, key.step};
+            step.spec = &spec_of(key);
+            step.rules = find_job(key.job)->submitted.rules;
+            const auto target = choose_machine(machines, step, context);
+            if (target && *target != i) {
+                ++moves;
                 stop_task(key, task);
             }
         }
     }
 }
 
+bool coordinator::state::is_worth_moving(const task_key& key, const task_state& task,
+                                         machine_state& machine) {
+    const auto& spec = spec_of(key);
+    const auto& rules = find_job(key.job)->submitted.rules;
+    return spec.is_filler && !spec.is_gang && !rules.needs_advice &&
+           task.phase == task_phase::running && time.now() - task.since >= least_run_before_move &&
+           (spec.writes_checkpoints || task.percent <= most_percent_lost) &&
+           slack_beside(machine, interference, spec.image, 0) < 0;
+}
+
 void coordinator::state::flush_acknowledgements() {
     if (writing || !dirty.empty()) {
         return;
--- a/libs/dispatch/src/task_life.cpp
+++ b/libs/dispatch/src/task_life.cpp
@@ -38,6 +38,11 @@
         }
     } else if (spec.tail_target.count() > 0) {
         machine.serving_demand = millicores(machine.serving_demand.value() + cores);
+        const auto entry = machine.serving_tasks_by_image.try_emplace(spec.image, 0).first;
+        entry->second += adds ? 1U : ~0U;
+        if (entry->second == 0) {
+            machine.serving_tasks_by_image.erase(entry);
+        }
     }
 }
 
--- a/libs/dispatch/tests/interference_test.cpp
+++ b/libs/dispatch/tests/interference_test.cpp
@@ -103,6 +103,63 @@
     CHECK(over < 8);
 }
 
+// The load of the logs: serving tasks of one image are busy on one machine and idle on another, and
+// their load swings. Learning by levels took the difference for pressure, and held light fillers
+// back for good.
+TEST_CASE("light and heavy images are told apart while own loads differ and swing") {
+    interference_model model;
+    std::map<std::string, machine> machines;
+    machines["m1"].own_load = 0.2;
+    machines["m2"].own_load = 0.6;
+    random_source random(11);
+    for (int i = 0; i < 2 * rounds; ++i) {
+        for (auto& [name, simulated] : machines) {
+            const double phase = name == "m1" ? 0 : 2;
+            simulated.own_load = (name == "m1" ? 0.2 : 0.5) + 0.15 * std::sin(i * 0.15 + phase);
+            simulated.pressure = {{"heavy", 1.0}, {"light", 0.05}};
+            simulated.percent = {{"heavy", static_cast<int>(random.below(50))},
+                                 {"light", static_cast<int>(random.below(100))}};
+            model.observe(name, at_round(i), simulated.sample());
+        }
+    }
+    INFO("heavy " << model.pressure("web", "heavy") << " light " << model.pressure("web", "light"));
+    CHECK(model.pressure("web", "heavy") > 0.6);
+    CHECK(model.pressure("web", "heavy") < 1.5);
+    CHECK(model.pressure("web", "light") == 0);
+}
+
+// Load: a machine that stays overloaded. Its tails hardly change any more, whatever the fillers do.
+TEST_CASE("changes within an overload do not make a heavy image look harmless") {
+    interference_model model;
+    model.set("web", "heavy", 1.0);
+    machine simulated;
+    simulated.pressure = {{"heavy", 1.0}, {"light", 0.0}};
+    simulated.demand = {{"heavy", 32'000}, {"light", 0}};
+    simulated.own_load = 0.6;
+    for (int i = 0; i < rounds; ++i) {
+        simulated.percent = {{"heavy", i % 2 == 0 ? 90 : 60}, {"light", 0}};
+        model.observe("m1", at_round(i), simulated.sample());
+    }
+    INFO("heavy " << model.pressure("web", "heavy"));
+    CHECK(model.pressure("web", "heavy") > 0.8);
+}
+
+TEST_CASE("fillers beside a task that stays over its target are held back until it is well") {
+    interference_model model;
+    interference_pacer pacer;
+    model.set("web", "light", 0.0);
+    model.set("web", "heavy", 0.0);
+    machine simulated;
+    simulated.pressure = {{"heavy", 0.0}, {"light", 0.0}};
+    simulated.own_load = 0.9;
+    for (int i = 0; i < 2; ++i) {
+        CHECK(pacer.update(model, simulated.sample(), at_round(i)).at("light") == 100);
+    }
+    CHECK(pacer.update(model, simulated.sample(), at_round(2)).at("light") == 0);
+    simulated.own_load = 0.5;
+    CHECK(pacer.update(model, simulated.sample(), at_round(3)).at("light") == 100);
+}
+
 TEST_CASE("a pace follows the serving task both ways within one report") {
     interference_model model;
     interference_pacer pacer;
