dispatch_node: a new owner recalls what agents remember of interference

Change: a new owner asks the agents that it claims until one remembers something, and begins with that, at a variance that lets new samples correct it. Pairs that it knows keep their estimate.

--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -282,6 +282,8 @@
     // The pressure of each pair that was seen together.
     [[nodiscard]] pressure_table pressures() const;
     void set(const std::string& serving, const std::string& filler, double pressure_value);
+    // What an earlier owner had learned; pairs that are known here keep their estimate.
+    void recall(const std::string& serving, const std::string& filler, double pressure_value);
     // Grows with each change.
     [[nodiscard]] std::uint64_t revision() const noexcept { return revision_; }
 
@@ -434,6 +436,8 @@
                     const interference_sample& sample);
     // What has been learned of all machines.
     [[nodiscard]] const interference_model& interference() const;
+    // What an earlier owner had learned, as an agent remembers it.
+    void recall_pressures(const interference_model::pressure_table& pressures);
     void advised(const step_key& step, const std::vector<permit>& permits, instant valid_until);
     void advice_failed(const step_key& step);
 
@@ -528,6 +532,10 @@
     void describe(const task_key& task, const task_traits& traits);
     // What the coordinator has learned of a pair of images.
     void learn(const std::string& serving, const std::string& filler, double pressure);
+    // All that was learned, for the next owner.
+    [[nodiscard]] interference_model::pressure_table pressures() const {
+        return model_.pressures();
+    }
     // The coordinator answered a beat that was sent at `sent`.
     void granted(instant until);
     [[nodiscard]] instant granted_until() const noexcept { return granted_until_; }
--- a/libs/dispatch/src/coordinator.cpp
+++ b/libs/dispatch/src/coordinator.cpp
@@ -318,6 +318,14 @@
     return state_->interference;
 }
 
+void coordinator::recall_pressures(const interference_model::pressure_table& pressures) {
+    for (const auto& [serving, fillers] : pressures) {
+        for (const auto& [filler, pressure] : fillers) {
+            state_->interference.recall(serving, filler, pressure);
+        }
+    }
+}
+
 void coordinator::advised(const step_key& step, const std::vector<permit>& permits,
                           instant valid_until) {
     auto& entry = state_->advice[step];
--- a/libs/dispatch/src/interference.cpp
+++ b/libs/dispatch/src/interference.cpp
@@ -12,6 +12,9 @@
 constexpr double first_pressure = 0.5;
 constexpr double first_variance = 0.3;
 constexpr double largest_pressure = 8.0;
+// What an earlier owner had learned may be seconds old: a standard deviation of about the threshold
+// for harmless pairs.
+constexpr double recalled_variance = 0.06;
 // Variance that an estimate gains in a second, since interference changes within seconds.
 constexpr double drift_variance = 0.0005;
 // Standard deviation of the change of a task's own load between two samples half a second apart.
@@ -203,6 +206,13 @@
     ++revision_;
 }
 
+void interference_model::recall(const std::string& serving, const std::string& filler,
+                                double pressure_value) {
+    estimates_[serving].try_emplace(
+        filler, estimate{std::clamp(pressure_value, 0.0, largest_pressure), recalled_variance});
+    ++revision_;
+}
+
 // ---------------------------------------------------------------------------------------------
 // Pacing
 
--- a/libs/dispatch/tests/agent_test.cpp
+++ b/libs/dispatch/tests/agent_test.cpp
@@ -191,6 +191,13 @@
     CHECK(f.core.executor()->lifetime == lifetime_number(2));
 }
 
+TEST_CASE("an agent remembers what was learned for the next owner") {
+    fixture f;
+    f.core.learn("web", "heavy", 1.0);
+    CHECK(f.core.claim(epoch_number(9)));
+    CHECK(f.core.pressures().at("web").at("heavy") == 1.0);
+}
+
 TEST_CASE("an unconfirmed stop is repeated") {
     fixture f;
     f.core.stop(task, first_run, epoch);
--- a/libs/dispatch/tests/interference_test.cpp
+++ b/libs/dispatch/tests/interference_test.cpp
@@ -128,6 +128,19 @@
     CHECK(model.pressure("web", "light") == 0);
 }
 
+// A new owner must not begin anew with each pair of images: until it has learned, serving tasks are
+// pressed on and harmless fillers are kept away.
+TEST_CASE("what an earlier owner had learned is recalled, but does not replace what is known") {
+    interference_model model;
+    CHECK(model.pressure("web", "light") > 0);
+    model.recall("web", "light", 0);
+    model.set("web", "heavy", 1.0);
+    model.recall("web", "heavy", 0);
+    CHECK(model.pressure("web", "light") == 0);
+    CHECK(model.pressure("web", "heavy") == 1.0);
+    CHECK(model.pressures().at("web").size() == 2);
+}
+
 // Load: a machine that stays overloaded. Its tails hardly change any more, whatever the fillers do.
 TEST_CASE("changes within an overload do not make a heavy image look harmless") {
     interference_model model;
--- a/libs/dispatch_node/src/agent_node.cpp
+++ b/libs/dispatch_node/src/agent_node.cpp
@@ -117,10 +117,13 @@
             core.describe(messages::decode_task(message.at("task")),
                           messages::decode_traits(message.at("traits")));
         } else if (kind == "pressures") {
-            for (const auto& pair : message.at("pairs")) {
-                core.learn(pair.at(0).get<std::string>(), pair.at(1).get<std::string>(),
-                           pair.at(2).get<double>());
+            for (const auto& [serving, fillers] : messages::decode_pressures(message.at("pairs"))) {
+                for (const auto& [filler, pressure] : fillers) {
+                    core.learn(serving, filler, pressure);
+                }
             }
+        } else if (kind == "recall") {
+            send({{"t", "pressures"}, {"pairs", messages::encode(core.pressures())}});
         }
     }
 
--- a/libs/dispatch_node/src/messages.cpp
+++ b/libs/dispatch_node/src/messages.cpp
@@ -155,6 +155,25 @@
     return found;
 }
 
+json encode(const interference_model::pressure_table& pressures) {
+    json pairs = json::array();
+    for (const auto& [serving, fillers] : pressures) {
+        for (const auto& [filler, pressure] : fillers) {
+            pairs.push_back({serving, filler, pressure});
+        }
+    }
+    return pairs;
+}
+
+interference_model::pressure_table decode_pressures(const json& in) {
+    interference_model::pressure_table pressures;
+    for (const auto& pair : in) {
+        pressures[pair.at(0).get<std::string>()][pair.at(1).get<std::string>()] =
+            pair.at(2).get<double>();
+    }
+    return pressures;
+}
+
 std::string dump(const json& message) {
     return message.dump(-1, ' ', false, json::error_handler_t::replace);
 }
--- a/libs/dispatch_node/src/messages.hpp
+++ b/libs/dispatch_node/src/messages.hpp
@@ -18,6 +18,7 @@
 [[nodiscard]] json encode(const running_task& run);
 [[nodiscard]] json encode(const finished_task& end);
 [[nodiscard]] json encode(const inventory& found);
+[[nodiscard]] json encode(const interference_model::pressure_table& pressures);
 
 // Each throws nlohmann::json::exception or error(malformed_request) if the value has another shape.
 [[nodiscard]] task_key decode_task(const json& in);
@@ -28,6 +29,7 @@
 [[nodiscard]] running_task decode_running(const json& in);
 [[nodiscard]] finished_task decode_finished(const json& in);
 [[nodiscard]] inventory decode_inventory(const json& in);
+[[nodiscard]] interference_model::pressure_table decode_pressures(const json& in);
 
 // The text of a message. Bytes that are not UTF-8 are replaced.
 [[nodiscard]] std::string dump(const json& message);
--- a/libs/dispatch_node/src/owner_session.cpp
+++ b/libs/dispatch_node/src/owner_session.cpp
@@ -295,7 +295,11 @@
                    {"running", found.running.size()},
                    {"finished", found.finished.size()}});
         coordinator_.claimed(machine, found);
-        send_pressures(agent, shared_);
+        if (has_recalled_) {
+            send_pressures(agent, shared_);
+        } else {
+            send(machine, {{"t", "recall"}});
+        }
     } else if (kind == "superseded") {
         const auto newer = owner_of(epoch_number(message.at("epoch").get<std::uint64_t>()));
         log_event(
@@ -308,6 +312,14 @@
         on_beat(machine, agent, message);
     } else if (!agent.is_claimed) {
         return;
+    } else if (kind == "pressures") {
+        const auto pressures = messages::decode_pressures(message.at("pairs"));
+        log_event(log_level::info, "pressures_recalled",
+                  {{"agent", machine.value()}, {"serving_images", pressures.size()}});
+        coordinator_.recall_pressures(pressures);
+        // An agent that has started anew knows nothing; the next one may.
+        has_recalled_ = has_recalled_ || !pressures.empty();
+        send_pressures(agent, shared_);
     } else if (kind == "started") {
         const auto outcome = static_cast<start_outcome>(message.at("outcome").get<int>());
         if (outcome != start_outcome::started) {
@@ -444,13 +456,7 @@
     if (!agent.link || !agent.is_claimed || pressures.empty()) {
         return;
     }
-    json pairs = json::array();
-    for (const auto& [serving, fillers] : pressures) {
-        for (const auto& [filler, pressure] : fillers) {
-            pairs.push_back({serving, filler, pressure});
-        }
-    }
-    agent.link->send(messages::dump({{"t", "pressures"}, {"pairs", std::move(pairs)}}));
+    agent.link->send(messages::dump({{"t", "pressures"}, {"pairs", messages::encode(pressures)}}));
 }
 
 void owner_session::share_pressures() {
--- a/libs/dispatch_node/src/owner_session.hpp
+++ b/libs/dispatch_node/src/owner_session.hpp
@@ -106,6 +106,8 @@
     instant shared_at_;
     // The pressures that all agents know.
     pressure_table shared_;
+    // An agent has told what an earlier owner had learned.
+    bool has_recalled_ = false;
     bool is_loaded_ = false;
     bool is_closed_ = false;
     bool is_plan_scheduled_ = false;
