--- a/libs/dispatch/src/interference.cpp
+++ b/libs/dispatch/src/interference.cpp
@@ -1,6 +1,5 @@
 #include <algorithm>
 #include <cmath>
-#include <set>
 
 #include "tanagerpaddle/dispatch.hpp"
 
--- a/libs/dispatch_node/src/owner_session.hpp
+++ b/libs/dispatch_node/src/owner_session.hpp
@@ -82,6 +82,10 @@
     void disconnect(const machine_name& machine, std::string_view why);
     void receive(const machine_name& machine, const std::string& text);
     void handle(const machine_name& machine, const json& message);
+    void on_inventory(const machine_name& machine, agent_link& agent,
+                      const messages::json& message);
+    void on_pressures(const machine_name& machine, agent_link& agent,
+                      const messages::json& message);
     void on_beat(const machine_name& machine, agent_link& agent, const json& message);
     void send(const machine_name& machine, const json& message);
     void tick();
--- a/libs/dispatch_node/src/ownership.cpp
+++ b/libs/dispatch_node/src/ownership.cpp
@@ -29,6 +29,9 @@
 // and giving up an answer that is on its way costs a second call.
 constexpr int patience_factor = 3;
 constexpr milliseconds retry_delay{60};
+// Starts wait for the write that records them, one write at a time: from here on they take a tenth
+// of the time that callers of short jobs allow (2.5 s), and more.
+constexpr milliseconds slow_write{250};
 
 }  // namespace
 
@@ -210,6 +213,7 @@
         if (is_closed) {
             return;
         }
+        note_write(result.outcome, asked_at);
         if (result.outcome == store_outcome::done) {
             version = result.version;
             if (was_released) {
@@ -239,6 +243,14 @@
         });
     }
 
+    void note_write(store_outcome outcome, instant asked_at) const {
+        const auto took = std::chrono::duration_cast<milliseconds>(time.now() - asked_at);
+        if (outcome != store_outcome::done || took >= slow_write) {
+            log_event(log_level::warning, "progress_write_slow",
+                      {{"outcome", static_cast<int>(outcome)}, {"took_ms", took}});
+        }
+    }
+
     void lose(const std::optional<owner_record>& successor) {
         is_owner = false;
         is_writing = false;
