eventio, dispatch_node: an unexpected exception ends a callback or a link, not the process

A message with a member of another type, an outcome out of range, or an owner's row without an address threw out of the event loop and ended the process; an epoch of -5 in a claim was read as the highest epoch, and the agent refused every later owner; an exception in the callback of a call held up the calls that waited; a waiting call behind one with a longer timeout ended after its own; calls that waited when their client was destroyed never ended; '30x' was read as a timeout of 30; queued_jobs ignored its deadline. Ruled out: catching in each handler alone, since a callback that nobody thought of would still end the process; going on after a violated invariant, whose state cannot be trusted: run() throws it.

--- a/libs/dispatch_node/src/agent_node.cpp
+++ b/libs/dispatch_node/src/agent_node.cpp
@@ -94,7 +94,8 @@
     void handle(const std::shared_ptr<eventio::message_link>& from, const json& message) {
         const auto kind = message.at("t").get<std::string>();
         if (kind == "claim") {
-            claim(from, epoch_number(message.at("epoch").get<std::uint64_t>()));
+            claim(from,
+                  epoch_number(messages::decode_unsigned<std::uint64_t>(message.at("epoch"))));
             return;
         }
         if (from != link) {
@@ -109,10 +110,12 @@
             core.start(order, core.epoch());
         } else if (kind == "stop") {
             core.stop(messages::decode_task(message.at("task")),
-                      run_number(message.at("run").get<std::uint32_t>()), core.epoch());
+                      run_number(messages::decode_unsigned<std::uint32_t>(message.at("run"))),
+                      core.epoch());
         } else if (kind == "ack") {
-            core.acknowledge(executor_incarnation(message.at("life").get<std::int64_t>()),
-                             completion_number(message.at("number").get<std::uint64_t>()));
+            core.acknowledge(
+                executor_incarnation(message.at("life").get<std::int64_t>()),
+                completion_number(messages::decode_unsigned<std::uint64_t>(message.at("number"))));
         } else if (kind == "grant") {
             const auto sent_at = instant(std::chrono::nanoseconds(message.at("at")));
             core.lease_granted(sent_at + options.timing.lease_duration);
@@ -213,8 +216,15 @@
             view.requested_at = request_sent_at;
             view.epoch = epoch;
             has_new_completions = false;
-            if (core.executor_view_received(view)) {
-                send(messages::encode(core.current_inventory()));
+            try {
+                if (core.executor_view_received(view)) {
+                    send(messages::encode(core.current_inventory()));
+                }
+            } catch (const invariant_violation&) {
+                throw;
+            } catch (const std::exception& failure) {
+                // The next sync reads the lists again; without it the lease would expire.
+                log_event(log_level::error, "view_unusable", {{"message", failure.what()}});
             }
             needs_delay = now - request_sent_at < min_sync_duration && !has_new_completions;
         } else if (result.is_connection_refused &&
--- a/libs/dispatch_node/src/entry_node.cpp
+++ b/libs/dispatch_node/src/entry_node.cpp
@@ -31,7 +31,12 @@
 }  // namespace
 
 struct entry_node::state : std::enable_shared_from_this<entry_node::state> {
-    using answer_handler = std::function<void(const json*)>;
+    // What the owner knows; both are unset if it does not know the job or queue.
+    struct owner_answer {
+        std::optional<job_phase> phase;
+        std::optional<std::size_t> count;
+    };
+    using answer_handler = std::function<void(const owner_answer*)>;
 
     state(eventio::event_loop& io_loop, const clock& node_clock, row_store& table_store,
           policy_service* policy_client, entry_options node_options)
@@ -90,9 +95,18 @@
     }
 
     void connect_to_owner(const std::string& address) {
+        std::optional<eventio::endpoint> endpoint;
+        try {
+            endpoint = eventio::parse_endpoint(address);
+        } catch (const error& failure) {
+            // Another process wrote the row; queries are answered from the store meanwhile.
+            log_event(log_level::error, "owner_address_unreadable",
+                      {{"address", address}, {"message", failure.what()}});
+            return;
+        }
         is_connecting = true;
         eventio::connect_link(
-            loop, eventio::parse_endpoint(address), connect_timeout,
+            loop, *endpoint, connect_timeout,
             [self = shared_from_this(), address](std::shared_ptr<eventio::message_link> link) {
                 return self->on_owner_connected(address, std::move(link));
             });
@@ -138,9 +152,11 @@
         }
     }
 
-    // `done` gets the owner's answer, or nullptr if there is none within owner_query_timeout.
-    void query_owner(json query, answer_handler done) {
-        if (!owner_link) {
+    // `done` gets the owner's answer, or nullptr if there is none within owner_query_timeout or
+    // by `until`.
+    void query_owner(json query, deadline until, answer_handler done) {
+        const auto timeout = std::min(owner_query_timeout, until.remaining(time.now()));
+        if (!owner_link || timeout.count() == 0) {
             done(nullptr);
             return;
         }
@@ -148,22 +164,38 @@
         query["id"] = number;
         pending_queries[number] = std::move(done);
         owner_link->send(messages::dump(query));
-        loop.after(owner_query_timeout, [weak = weak_from_this(), number] {
+        loop.after(timeout, [weak = weak_from_this(), number, timeout] {
             const auto self = weak.lock();
             if (!self) {
                 return;
             }
             const auto found = self->pending_queries.find(number);
-            if (found != self->pending_queries.end()) {
+            if (found == self->pending_queries.end()) {
+                return;
+            }
+            if (timeout == owner_query_timeout) {
                 // The connection may be broken.
                 self->close_owner_link();
+                return;
             }
+            const auto handler = std::move(found->second);
+            self->pending_queries.erase(found);
+            handler(nullptr);
         });
     }
 
     void on_owner_answer(const std::string& text) {
-        const auto answer = json::parse(text, nullptr, false);
-        const auto number = answer.is_object() ? answer.value("id", std::uint64_t{0}) : 0;
+        owner_answer answer;
+        std::uint64_t number = 0;
+        try {
+            const auto message = json::parse(text);
+            number = messages::decode_unsigned<std::uint64_t>(message.at("id"));
+            answer = decode_owner_answer(message);
+        } catch (const std::exception& failure) {
+            // The query that it answers expires, and the store is read instead.
+            log_event(log_level::error, "message_unreadable", {{"message", failure.what()}});
+            return;
+        }
         const auto found = pending_queries.find(number);
         if (found == pending_queries.end()) {
             return;
@@ -173,6 +205,20 @@
         handler(&answer);
     }
 
+    static owner_answer decode_owner_answer(const json& message) {
+        owner_answer answer;
+        if (!message.at("known").get<bool>()) {
+            return answer;
+        }
+        if (message.contains("phase")) {
+            answer.phase = messages::decode_phase(message.at("phase"));
+        }
+        if (message.contains("count")) {
+            answer.count = messages::decode_unsigned<std::size_t>(message.at("count"));
+        }
+        return answer;
+    }
+
     // --- queries from other entries
     eventio::link_handlers accepted(const std::shared_ptr<eventio::message_link>& link) {
         connected_entries[link] = millicores(0);
@@ -195,17 +241,17 @@
     }
 
     void receive(const std::shared_ptr<eventio::message_link>& from, const std::string& text) {
-        const auto message = json::parse(text, nullptr, false);
-        if (!message.is_object()) {
-            log_event(log_level::error, "message_unreadable", {{"message", "no JSON object"}});
-            return;
-        }
-        if (message.value("t", "") == "hello") {
-            connected_entries[from] = millicores(message.value("processors", std::int64_t{0}));
-            update_max_peer_processors();
-            return;
+        try {
+            const auto message = json::parse(text);
+            if (message.at("t").get<std::string>() == "hello") {
+                connected_entries[from] = millicores(message.at("processors").get<std::int64_t>());
+                update_max_peer_processors();
+                return;
+            }
+            from->send(messages::dump(answer_query(message)));
+        } catch (const json::exception& failure) {
+            log_event(log_level::error, "message_unreadable", {{"message", failure.what()}});
         }
-        from->send(messages::dump(answer_query(message)));
     }
 
     void update_max_peer_processors() {
@@ -310,10 +356,10 @@
             status_from_store(job, until, done);
             return;
         }
-        query_owner({{"t", "status"}, {"job", job.value()}},
-                    [self = shared_from_this(), job, until, done](const json* answer) {
-                        if (answer != nullptr && answer->value("known", false)) {
-                            done(lookup::found, static_cast<job_phase>(answer->value("phase", 0)));
+        query_owner({{"t", "status"}, {"job", job.value()}}, until,
+                    [self = shared_from_this(), job, until, done](const owner_answer* answer) {
+                        if (answer != nullptr && answer->phase) {
+                            done(lookup::found, *answer->phase);
                             return;
                         }
                         self->status_from_store(job, until, done);
@@ -465,7 +511,7 @@
     state_->cancel(job, until, done);
 }
 
-void entry_node::queued_jobs(const queue_id& queue, deadline,
+void entry_node::queued_jobs(const queue_id& queue, deadline until,
                              const std::function<void(std::optional<std::size_t>)>& done) {
     if (state_->session) {
         done(state_->session->is_job_list_current()
@@ -473,11 +519,10 @@
                  : std::nullopt);
         return;
     }
-    state_->query_owner({{"t", "queued"}, {"queue", queue.value()}}, [done](const json* answer) {
-        done(answer != nullptr && answer->value("known", false)
-                 ? std::optional(answer->value("count", std::size_t{0}))
-                 : std::nullopt);
-    });
+    state_->query_owner({{"t", "queued"}, {"queue", queue.value()}}, until,
+                        [done](const state::owner_answer* answer) {
+                            done(answer != nullptr ? answer->count : std::nullopt);
+                        });
 }
 
 void entry_node::leave() {
--- a/libs/dispatch_node/src/messages.cpp
+++ b/libs/dispatch_node/src/messages.cpp
@@ -22,8 +22,8 @@
 }
 
 task_key decode_task(const json& in) {
-    return {job_id(in.at(0).get<std::string>()), in.at(1).get<std::uint32_t>(),
-            in.at(2).get<std::uint32_t>(), in.at(3).get<std::uint32_t>()};
+    return {job_id(in.at(0).get<std::string>()), decode_unsigned<std::uint32_t>(in.at(1)),
+            decode_unsigned<std::uint32_t>(in.at(2)), decode_unsigned<std::uint32_t>(in.at(3))};
 }
 
 json encode(const task_traits& traits) {
@@ -73,7 +73,7 @@
 start_order decode_start(const json& in) {
     start_order order;
     order.task = decode_task(in.at("task"));
-    order.run = run_number(in.at("run").get<std::uint32_t>());
+    order.run = run_number(decode_unsigned<std::uint32_t>(in.at("run")));
     order.payload = in.at("payload").get<std::string>();
     order.checkpoint = in.at("checkpoint").get<std::string>();
     order.permit = in.at("permit").get<std::string>();
@@ -114,7 +114,7 @@
 }
 
 running_task decode_running(const json& in) {
-    return {decode_task(in.at(0)), run_number(in.at(1).get<std::uint32_t>()),
+    return {decode_task(in.at(0)), run_number(decode_unsigned<std::uint32_t>(in.at(1))),
             in.at(2).get<std::string>(), in.at(3).get<int>(), in.at(4).get<std::int64_t>()};
 }
 
@@ -124,11 +124,19 @@
 }
 
 finished_task decode_finished(const json& in) {
-    return {completion_number(in.at(0).get<std::uint64_t>()), decode_task(in.at(1)),
-            run_number(in.at(2).get<std::uint32_t>()),
+    return {completion_number(decode_unsigned<std::uint64_t>(in.at(0))), decode_task(in.at(1)),
+            run_number(decode_unsigned<std::uint32_t>(in.at(2))),
             decode_enum(in.at(3), run_outcome::gang_incomplete), in.at(4).get<std::string>()};
 }
 
+start_outcome decode_start_outcome(const json& in) {
+    return decode_enum(in, start_outcome::bad_permit);
+}
+
+job_phase decode_phase(const json& in) {
+    return decode_enum(in, job_phase::cancelled);
+}
+
 json encode(const inventory& found) {
     json out{{"t", "inventory"}, {"running", json::array()}, {"finished", json::array()}};
     if (found.executor) {
--- a/libs/dispatch_node/src/messages.hpp
+++ b/libs/dispatch_node/src/messages.hpp
@@ -2,7 +2,10 @@
 
 // Messages between entries and agents: JSON objects whose field "t" names the kind.
 
+#include <concepts>
+#include <cstdint>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 #include "tanagerpaddle/dispatch.hpp"
 
@@ -20,6 +23,18 @@
 [[nodiscard]] json encode(const inventory& found);
 [[nodiscard]] json encode(const interference_model::pressure_table& pressures);
 
+// A number that fits into T. Without the check a negative epoch would become the highest one, and
+// an agent that took it would refuse every later owner. Throws nlohmann::json::exception or
+// error(malformed_request).
+template <std::unsigned_integral T>
+[[nodiscard]] T decode_unsigned(const json& in) {
+    const auto value = in.get<std::int64_t>();
+    if (!in.is_number_integer() || value < 0 || !std::in_range<T>(value)) {
+        throw error(result_code::malformed_request, "number out of range: " + in.dump());
+    }
+    return static_cast<T>(value);
+}
+
 // Each throws nlohmann::json::exception or error(malformed_request) if the value is malformed.
 [[nodiscard]] task_key decode_task(const json& in);
 [[nodiscard]] start_order decode_start(const json& in);
@@ -27,6 +42,8 @@
 [[nodiscard]] interference_sample decode_sample(const json& in);
 [[nodiscard]] executor_info decode_executor(const json& in);
 [[nodiscard]] running_task decode_running(const json& in);
+[[nodiscard]] start_outcome decode_start_outcome(const json& in);
+[[nodiscard]] job_phase decode_phase(const json& in);
 [[nodiscard]] finished_task decode_finished(const json& in);
 [[nodiscard]] inventory decode_inventory(const json& in);
 [[nodiscard]] interference_model::pressure_table decode_pressures(const json& in);
--- a/libs/dispatch_node/src/owner_links.cpp
+++ b/libs/dispatch_node/src/owner_links.cpp
@@ -89,7 +89,9 @@
 void owner_session::receive(const instance_name& instance, const std::string& text) {
     try {
         handle(instance, json::parse(text));
-    } catch (const json::exception& failure) {
+    } catch (const invariant_violation&) {
+        throw;
+    } catch (const std::exception& failure) {
         log_event(log_level::error, "message_unreadable",
                   {{"agent", instance.value()}, {"message", failure.what()}});
         disconnect(instance, "unreadable message");
@@ -102,14 +104,17 @@
     agent.last_message_at = env_.time->now();
     const auto kind = message.at("t").get<std::string>();
     const auto task = [&] { return messages::decode_task(message.at("task")); };
-    const auto run = [&] { return run_number(message.at("run").get<std::uint32_t>()); };
+    const auto run = [&] {
+        return run_number(messages::decode_unsigned<std::uint32_t>(message.at("run")));
+    };
     const auto incarnation = [&] {
         return executor_incarnation(message.at("life").get<std::int64_t>());
     };
     if (kind == "inventory") {
         on_inventory(instance, agent, message);
     } else if (kind == "superseded") {
-        const auto newer = owner_epoch(epoch_number(message.at("epoch").get<std::uint64_t>()));
+        const auto newer = owner_epoch(
+            epoch_number(messages::decode_unsigned<std::uint64_t>(message.at("epoch"))));
         log_event(
             log_level::warning, "superseded",
             {{"agent", instance.value()}, {"epoch", epoch_.value()}, {"newer", newer.value()}});
@@ -123,7 +128,7 @@
     } else if (kind == "pressures") {
         on_pressures(instance, agent, message);
     } else if (kind == "started") {
-        const auto outcome = static_cast<start_outcome>(message.at("outcome").get<int>());
+        const auto outcome = messages::decode_start_outcome(message.at("outcome"));
         if (outcome != start_outcome::started) {
             log_event(log_level::info, "start_refused",
                       {{"task", to_string(task())},
--- a/libs/dispatch_node/src/owner_session.cpp
+++ b/libs/dispatch_node/src/owner_session.cpp
@@ -257,6 +257,12 @@
     if (is_closed_) {
         return;
     }
+    // First, so that an exception below does not end the ticks.
+    env_.loop->after(tick_interval, [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->tick();
+        }
+    });
     const instant now = env_.time->now();
     for (auto& [name, agent] : agents_) {
         if (agent.link && now - agent.last_message_at > env_.timing.link_timeout) {
@@ -266,11 +272,6 @@
     }
     share_pressures();
     schedule_plan();
-    env_.loop->after(tick_interval, [weak = weak_from_this()] {
-        if (const auto self = weak.lock()) {
-            self->tick();
-        }
-    });
 }
 
 void owner_session::send_pressures(agent_link& agent, const pressure_table& pressures) {
--- a/libs/eventio/include/tanagerpaddle/eventio.hpp
+++ b/libs/eventio/include/tanagerpaddle/eventio.hpp
@@ -38,8 +38,13 @@
     event_loop(const event_loop&) = delete;
     event_loop& operator=(const event_loop&) = delete;
 
-    // Runs callbacks until stop() is called; may be called again after it returns.
+    // Runs callbacks until stop() is called; may be called again after it returns. An exception
+    // that a callback lets escape ends that callback only, provided that an exception handler is
+    // set; otherwise, and for an invariant_violation, run() throws it.
     void run();
+    // `handler` gets each exception that a callback lets escape. The connection whose callback
+    // threw is closed; periodic actions continue.
+    void on_exception(std::function<void(const std::exception&)> handler);
     void stop();
     // Runs `action` once, after the current callback returns.
     void post(std::function<void()> action);
--- a/libs/eventio/src/event_loop.cpp
+++ b/libs/eventio/src/event_loop.cpp
@@ -18,16 +18,16 @@
 
 void schedule_periodic(event_loop& loop, milliseconds period, std::function<void()>& action) {
     loop.after(period, [&loop, period, &action] {
+        const on_scope_exit reschedule([&] { schedule_periodic(loop, period, action); });
         action();
-        schedule_periodic(loop, period, action);
     });
 }
 
 void wait_for_signal(asio::signal_set& set, const std::function<void()>& action) {
     set.async_wait([&set, action](error_code failure, int) {
         if (!failure) {
+            const on_scope_exit wait_again([&] { wait_for_signal(set, action); });
             action();
-            wait_for_signal(set, action);
         }
     });
 }
@@ -92,7 +92,23 @@
 void event_loop::run() {
     const auto work = asio::make_work_guard(implementation_->context);
     implementation_->context.restart();
-    implementation_->context.run();
+    for (;;) {
+        try {
+            implementation_->context.run();
+            return;
+        } catch (const invariant_violation&) {
+            throw;
+        } catch (const std::exception& failure) {
+            if (!implementation_->exception_handler) {
+                throw;
+            }
+            implementation_->exception_handler(failure);
+        }
+    }
+}
+
+void event_loop::on_exception(std::function<void(const std::exception&)> handler) {
+    implementation_->exception_handler = std::move(handler);
 }
 
 void event_loop::stop() {
--- a/libs/eventio/src/http_client.cpp
+++ b/libs/eventio/src/http_client.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <deque>
@@ -35,6 +36,7 @@
 
     void start_waiting_calls();
     void expire_waiting_calls();
+    void fail_unsent(std::vector<pending_call> calls);
 
     event_loop& io_loop;
     asio::io_context& context;
@@ -153,14 +155,15 @@
         } else {
             stream_.close();
         }
-        call->done(result);
         if (client) {
+            // Posted first, so that waiting calls start even if the callback throws.
             client->io_loop.post([weak = client_] {
                 if (const auto locked_client = weak.lock()) {
                     locked_client->start_waiting_calls();
                 }
             });
         }
+        call->done(result);
     }
 
     std::weak_ptr<http_client::state> client_;
@@ -178,12 +181,24 @@
 
 void http_client::state::expire_waiting_calls() {
     const instant now = time.now();
-    while (!waiting_calls.empty() && waiting_calls.front().expires_at.has_passed(now)) {
-        const auto call = std::move(waiting_calls.front());
-        waiting_calls.pop_front();
-        http_result result;
-        result.outcome = call_outcome::not_sent;
-        call.done(result);
+    const auto first_expired = std::stable_partition(
+        waiting_calls.begin(), waiting_calls.end(),
+        [&](const pending_call& call) { return !call.expires_at.has_passed(now); });
+    std::vector<pending_call> expired(std::make_move_iterator(first_expired),
+                                      std::make_move_iterator(waiting_calls.end()));
+    waiting_calls.erase(first_expired, waiting_calls.end());
+    fail_unsent(std::move(expired));
+}
+
+// Completes calls that no connection has taken. Each in a callback of its own: the caller may be
+// inside call(), and may add or destroy calls in `done`.
+void http_client::state::fail_unsent(std::vector<pending_call> calls) {
+    for (auto& call : calls) {
+        io_loop.post([done = std::move(call.done)] {
+            http_result result;
+            result.outcome = call_outcome::not_sent;
+            done(result);
+        });
     }
 }
 
@@ -215,6 +230,9 @@
 
 http_client::~http_client() {
     state_->idle_connections.clear();
+    state_->fail_unsent({std::make_move_iterator(state_->waiting_calls.begin()),
+                         std::make_move_iterator(state_->waiting_calls.end())});
+    state_->waiting_calls.clear();
 }
 
 void http_client::call(http_call request, milliseconds call_timeout, http_callback done) {
--- a/libs/eventio/src/http_server.cpp
+++ b/libs/eventio/src/http_server.cpp
@@ -35,8 +35,10 @@
 
 milliseconds parse_timeout(std::string_view text) {
     std::int64_t value = 0;
-    const auto [last, failure] = std::from_chars(text.data(), text.data() + text.size(), value);
-    return failure == std::errc() && value > 0 ? milliseconds(value) : milliseconds(0);
+    const char* end = text.data() + text.size();
+    const auto [last, failure] = std::from_chars(text.data(), end, value);
+    return failure == std::errc() && last == end && value > 0 ? milliseconds(value)
+                                                              : milliseconds(0);
 }
 
 }  // namespace
--- a/libs/eventio/src/loop_internals.hpp
+++ b/libs/eventio/src/loop_internals.hpp
@@ -22,6 +22,20 @@
     asio::io_context context{1};
     std::list<asio::signal_set> signal_sets;
     std::list<std::function<void()>> periodic_actions;
+    std::function<void(const std::exception&)> exception_handler;
+};
+
+// Runs an action when the scope ends, also by an exception.
+template <class Action>
+class on_scope_exit {
+public:
+    explicit on_scope_exit(Action action) : action_(std::move(action)) {}
+    ~on_scope_exit() { action_(); }
+    on_scope_exit(const on_scope_exit&) = delete;
+    on_scope_exit& operator=(const on_scope_exit&) = delete;
+
+private:
+    Action action_;
 };
 
 [[nodiscard]] tcp::endpoint to_asio(const endpoint& address);
--- a/libs/eventio/src/messages.cpp
+++ b/libs/eventio/src/messages.cpp
@@ -85,7 +85,13 @@
                              // stored handlers.
                              const auto handle = self->handlers_.on_message;
                              if (handle) {
-                                 handle(self->message_);
+                                 try {
+                                     handle(self->message_);
+                                 } catch (...) {
+                                     // The rest of the stream may depend on this message.
+                                     self->fail();
+                                     throw;
+                                 }
                              }
                              if (!self->is_closed_) {
                                  self->read_length();
--- a/libs/telemetry/include/tanagerpaddle/telemetry.hpp
+++ b/libs/telemetry/include/tanagerpaddle/telemetry.hpp
@@ -172,6 +172,7 @@
     log_lines,
     spans_dropped,
     metric_series_rejected,
+    callback_failures,
     count_of_metrics,
 };
 
--- a/libs/telemetry/src/metric_table.cpp
+++ b/libs/telemetry/src/metric_table.cpp
@@ -93,6 +93,8 @@
                       "Spans dropped because their file was too slow."},
     metric_descriptor{metric_series_rejected, "tanagerpaddle_metric_series_rejected_total", counts,
                       "series", "metric", "Look-ups beyond the bound on series of a metric."},
+    metric_descriptor{callback_failures, "tanagerpaddle_callback_failures_total", counts,
+                      "callbacks", "", "Callbacks of the event loop that an exception ended."},
 };
 
 constexpr bool is_in_order() {
