dispatch: moves in proportion to the fleet, and room for the rise of serving load

Cause: on the large site the last tasks of a step are late. A quarter of the running fillers' demand stood at pace 0 beside serving tasks whose own load had risen since their start, and only four fillers were moved in 0.3 s, whatever the size of the fleet. Ruled out: waiting (half of the jobs start within 57 ms), processors (runs without interference hardly slow down below 0.8 of an instance), counting all filler demand, estimating processors from use; see docs/decisions/0008. Change: filler_rules: as many moves in an inspection as instances; a filler leaves its serving tasks room for the rise of their load over its run, unless its step has waited for a second. Tests of dispatch_node and eventio use ports below the ephemeral ones: malformed_messages_test failed once beside other tests since a connection had taken its port (58350; ephemeral ports are 32768 to 60999 here).

--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -384,7 +384,25 @@
     job_phase phase = job_phase::pending;
 };
 
-class placement_policy;
+// How fillers share instances with serving tasks whose own load rises and falls within seconds.
+struct filler_rules {
+    // Utilisation that a serving task's own load may gain per second. A filler starts only if the
+    // serving tasks that it interferes with have room for that rise over the filler's run time;
+    // without it a filler that starts while the load is low stands still at the next peak and holds
+    // up its step. The own load was seen to swing by half of 0.48 within 10 to 20 s, which is 0.08
+    // to 0.15 per second at its steepest.
+    double load_rise_per_s = 0.1;
+    // Longest part of a run time for which that rise is reserved: a quarter of a swing of 20 s.
+    milliseconds max_load_horizon{5'000};
+    // A step that has waited this long starts without that room: past capacity, a start that may be
+    // throttled later is better than none.
+    milliseconds max_wait_for_room{1'000};
+    // Share of the instances whose throttled fillers may be moved in one inspection, and the least
+    // number of moves. Each move takes capacity that the next one must not count on, but in a fleet
+    // the number of serving tasks at their peak grows with the number of instances.
+    double moves_per_instance = 1;
+    std::size_t min_moves = 4;
+};
 
 // Decides what runs where for all jobs of a system. The caller ensures that only one process at a
 // time writes progress rows (see libs/dispatch_node). All state needed after a takeover is in the
@@ -396,6 +414,7 @@
         // Maximum number of rows in one write; the store accepts 100 entries, one of which is the
         // owner's row.
         std::size_t max_rows_per_write = 90;
+        filler_rules fillers;
     };
 
     coordinator(options settings, const clock& time, coordinator_orders& orders);
--- a/libs/dispatch/src/coordinator_state.hpp
+++ b/libs/dispatch/src/coordinator_state.hpp
@@ -42,6 +42,8 @@
 struct step_state {
     std::vector<task_state> tasks;
     std::uint32_t succeeded = 0;
+    // Since when the step has been ready and had tasks without an instance.
+    std::optional<instant> waiting_since;
 
     [[nodiscard]] bool is_done() const noexcept { return succeeded == tasks.size(); }
 };
@@ -173,8 +175,9 @@
     std::map<queue_id, std::int64_t> queued_job_counts;
     instant inspected_at;
     interference_model interference;
-    // Smallest filler demand in millicores, by image, for which the current pass found no instance.
-    std::map<std::string, std::int64_t> unplaceable_fillers;
+    // Smallest filler demand in millicores for which the current pass found no instance, by image
+    // and by whether the step has to leave room for the serving tasks' load.
+    std::map<std::pair<std::string, bool>, std::int64_t> unplaceable_fillers;
 };
 
 }  // namespace tanagerpaddle::dispatch
--- a/libs/dispatch/src/placement.cpp
+++ b/libs/dispatch/src/placement.cpp
@@ -74,14 +74,25 @@
     }
 }
 
+// Slack that a filler must leave to the serving tasks that it interferes with, as a utilisation:
+// what their own load may gain until it ends.
+double reserved_slack(const ready_step& filler, const filler_rules& rules) {
+    if (!filler.reserves_slack) {
+        return 0;
+    }
+    const auto horizon = std::min(filler.spec->estimate, rules.max_load_horizon);
+    return rules.load_rise_per_s * std::chrono::duration<double>(horizon).count();
+}
+
 bool fits(instance_state& instance, const ready_step& step, const placement_context& context) {
     const resources free = instance.free();
     resources needed = step.spec->demand;
     if (step.spec->is_filler) {
-        const bool is_admitted = context.checks_capacity_only ||
-                                 (min_slack(instance, *context.interference, step.spec->image,
-                                            needed.processors.value()) >= 0 &&
-                                  instance.idle_millicores() >= needed.processors.value());
+        const bool is_admitted =
+            context.checks_capacity_only ||
+            (min_slack(instance, *context.interference, step.spec->image,
+                       needed.processors.value()) >= reserved_slack(step, context.fillers) &&
+             instance.idle_millicores() >= needed.processors.value());
         if (!is_admitted) {
             return false;
         }
--- a/libs/dispatch/src/placement.hpp
+++ b/libs/dispatch/src/placement.hpp
@@ -88,6 +88,8 @@
     // The job has had no assigned task for so long that one task may start wherever capacity
     // suffices.
     bool is_starved = false;
+    // Leaves room for the rise of the serving tasks' own load; see filler_rules.
+    bool reserves_slack = true;
     std::vector<std::uint32_t> waiting;
 };
 
@@ -114,6 +116,7 @@
     // Instance to use only if there is no other.
     std::optional<std::size_t> avoided_instance;
     const interference_model* interference = nullptr;
+    filler_rules fillers;
     // Rack in which the tasks of the step must run; empty if any rack will do.
     rack_id rack;
 };
--- a/libs/dispatch/src/planning.cpp
+++ b/libs/dispatch/src/planning.cpp
@@ -25,8 +25,6 @@
 constexpr milliseconds starvation_timeout{1'000};
 // A filler without checkpoints is moved only while it has done at most this share of its work.
 constexpr int max_lost_progress_percent = 15;
-// Limits moves in one inspection: each move takes capacity that the next one must not count on.
-constexpr int max_moves_per_inspection = 4;
 // Minimum run time before a move, since a move costs a restart.
 constexpr milliseconds min_run_time_before_move{500};
 
@@ -139,20 +137,27 @@
             job.idle_since = now;
         }
         for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
-            const auto& occurrence = job.occurrences[k];
+            auto& occurrence = job.occurrences[k];
             if (!occurrence.is_due) {
                 continue;
             }
             for (std::uint32_t s = 0; s < spec.steps.size(); ++s) {
                 ready_step step;
-                for (std::uint32_t i = 0; i < occurrence.steps[s].tasks.size(); ++i) {
-                    if (occurrence.steps[s].tasks[i].phase == task_phase::waiting) {
+                auto& progress = occurrence.steps[s];
+                for (std::uint32_t i = 0; i < progress.tasks.size(); ++i) {
+                    if (progress.tasks[i].phase == task_phase::waiting) {
                         step.waiting.push_back(i);
                     }
                 }
                 if (step.waiting.empty() || !is_ready(spec, occurrence, s)) {
+                    progress.waiting_since.reset();
                     continue;
                 }
+                if (!progress.waiting_since) {
+                    progress.waiting_since = now;
+                }
+                step.reserves_slack =
+                    now - *progress.waiting_since < config.fillers.max_wait_for_room;
                 const auto chain = longest_chain(spec, occurrence, false);
                 step.key = {id, k, s};
                 step.spec = &spec.steps[s];
@@ -192,7 +197,7 @@
     if (!step.spec->is_filler || step.is_starved) {
         return false;
     }
-    const auto found = unplaceable_fillers.find(step.spec->image);
+    const auto found = unplaceable_fillers.find({step.spec->image, step.reserves_slack});
     return found != unplaceable_fillers.end() &&
            step.spec->demand.processors.value() >= found->second;
 }
@@ -235,6 +240,7 @@
         context.permits = &permits_by_step[step.key].tickets;
     }
     context.interference = &interference;
+    context.fillers = config.fillers;
     for (const auto index : step.waiting) {
         const auto& task = jobs.at(step.key.job)
                                .occurrences[step.key.occurrence]
@@ -248,7 +254,7 @@
         const auto instance = choose_instance(instances, step, context);
         if (!instance) {
             if (step.spec->is_filler && !context.checks_capacity_only) {
-                unplaceable_fillers.try_emplace(step.spec->image,
+                unplaceable_fillers.try_emplace({step.spec->image, step.reserves_slack},
                                                 step.spec->demand.processors.value());
             }
             if (step.rules.priority == 0) {
@@ -290,6 +296,7 @@
     context.now = time.now();
     context.evacuated = &evacuated_domains;
     context.interference = &interference;
+    context.fillers = config.fillers;
     if (step.rules.requires_permit) {
         context.permits = &permits_by_step[step.key].tickets;
     }
@@ -387,7 +394,11 @@
     context.now = time.now();
     context.evacuated = &evacuated_domains;
     context.interference = &interference;
-    int moves = 0;
+    context.fillers = config.fillers;
+    const auto max_moves = std::max(
+        config.fillers.min_moves, static_cast<std::size_t>(config.fillers.moves_per_instance *
+                                                           static_cast<double>(instances.size())));
+    std::size_t moves = 0;
     for (std::size_t i = 0; i < instances.size(); ++i) {
         auto& instance = instances[i];
         if (!instance.is_linked || !instance.executor || instance.serving_tasks_by_image.empty()) {
@@ -397,7 +408,7 @@
         const std::vector<task_key> keys(instance.tasks.begin(), instance.tasks.end());
         for (const auto& key : keys) {
             auto& task = *find_task(key);
-            if (moves >= max_moves_per_inspection || !should_move(key, task, instance)) {
+            if (moves >= max_moves || !should_move(key, task, instance)) {
                 continue;
             }
             ready_step step;
--- a/libs/dispatch_node/src/owner_session.cpp
+++ b/libs/dispatch_node/src/owner_session.cpp
@@ -41,6 +41,12 @@
     return parts;
 }
 
+coordinator::options coordinator_options(const lease_timing& timing) {
+    coordinator::options options;
+    options.timing = timing;
+    return options;
+}
+
 }  // namespace
 
 std::string part_of(const job_id& job) {
@@ -51,7 +57,7 @@
     : env_(env),
       epoch_(epoch),
       unclaimed_runs_end_by_(unclaimed_runs_end_by),
-      coordinator_({env.timing, coordinator::options{}.max_rows_per_write}, *env.time, *this) {}
+      coordinator_(coordinator_options(env.timing), *env.time, *this) {}
 
 // ---------------------------------------------------------------------------------------------
 // Loading
--- a/libs/dispatch_node/tests/entry_node_test.cpp
+++ b/libs/dispatch_node/tests/entry_node_test.cpp
@@ -12,8 +12,9 @@
 
 namespace {
 
+// Below the ephemeral ports (from 32768): a connection of any test may use one of those.
 eventio::endpoint local_endpoint(int offset) {
-    const auto base = 39'000 + (getpid() % 2'000) * 8;
+    const auto base = 18'000 + (getpid() % 300) * 8;
     return {"127.0.0.1", static_cast<std::uint16_t>(base + offset)};
 }
 
--- a/libs/dispatch_node/tests/malformed_messages_test.cpp
+++ b/libs/dispatch_node/tests/malformed_messages_test.cpp
@@ -15,8 +15,9 @@
 
 namespace {
 
+// Below the ephemeral ports (from 32768): a connection of any test may use one of those.
 eventio::endpoint local_endpoint(int offset) {
-    const auto base = 56'000 + (getpid() % 200) * 16;
+    const auto base = 12'000 + (getpid() % 200) * 16;
     return {"127.0.0.1", static_cast<std::uint16_t>(base + offset)};
 }
 
--- a/libs/eventio/tests/exceptions_test.cpp
+++ b/libs/eventio/tests/exceptions_test.cpp
@@ -14,9 +14,9 @@
 
 namespace {
 
-// Offsets of the other test file end at 7.
+// Below the ephemeral ports (from 32768): a connection of any test may use one of those.
 endpoint local_endpoint(int offset) {
-    const auto base = 37'000 + (getpid() % 200) * 8;
+    const auto base = 16'000 + (getpid() % 200) * 8;
     return {"127.0.0.1", static_cast<std::uint16_t>(base + offset)};
 }
 
--- a/libs/eventio/tests/http_test.cpp
+++ b/libs/eventio/tests/http_test.cpp
@@ -15,7 +15,7 @@
 // An endpoint in a port range that other programs are unlikely to use. Each test case uses its own
 // offset.
 endpoint local_endpoint(int offset) {
-    const auto base = 21'000 + (getpid() % 2'000) * 8;
+    const auto base = 21'000 + (getpid() % 1'400) * 8;
     return {"127.0.0.1", static_cast<std::uint16_t>(base + offset)};
 }
 
