dispatch, dispatch_node: late reports are no stall; permissions checked again before a retry; true answers to cancellations

(1) An agent that cannot read its executor's lists keeps sending heartbeats with unchanged progress: after 2 s the owner stopped all tasks of the instance as stalled and quarantined it; likewise after a silence of 2 s. (2) An agent repeated an unanswered start after its lease had run out, or into a drain that had begun meanwhile. (3) A cancellation whose answer was lost was answered with 503 although it took effect, and was tried only once. Ruled out: a longer time-out for stalls, which would only move the limit; asking the executor before a stop, which needs the answer that is missing. Change: heartbeats count the views they rest on, and only time that was observed counts as time without progress; a start is repeated only if it might be sent now; cancellations are repeated as submissions are, and an unknown outcome is answered with 504.

--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -458,9 +458,11 @@
     void stop_confirmed(const instance_name& instance, const task_key& task, run_number run);
     void runs_finished(const instance_name& instance, executor_incarnation incarnation,
                        const std::vector<finished_task>& completions);
-    // Tasks whose progress changed, and the executor's latest sample.
+    // Tasks whose progress changed, and the executor's latest sample. `has_new_view` is false if
+    // the agent has not read its executor's lists since its previous report: the progress of the
+    // other tasks is then unknown, not zero.
     void progress_reported(const instance_name& instance, const std::vector<running_task>& running,
-                           const interference_sample& sample);
+                           const interference_sample& sample, bool has_new_view = true);
     // Interference estimated from the samples of all instances.
     [[nodiscard]] const interference_model& interference() const;
     // Restores the estimates of an earlier owner as an agent has kept them.
@@ -591,6 +593,8 @@
     [[nodiscard]] const std::optional<executor_info>& executor() const noexcept {
         return executor_;
     }
+    // Number of views received from executors since the agent's start.
+    [[nodiscard]] std::uint64_t view_count() const noexcept { return view_count_; }
     // The latest measurements of the executor.
     [[nodiscard]] const interference_sample& sample() const noexcept { return sample_; }
     // Highest completion that the executor may discard.
@@ -616,6 +620,8 @@
     void reset_executor_state();
     void update_sample();
     void update_pace();
+    // True if the executor may start a task now.
+    [[nodiscard]] bool accepts_starts() const;
     void withdraw_start(const run_key& key);
     void resolve_starts(const executor_view& view);
     void resolve_stops(const executor_view& view);
@@ -628,6 +634,7 @@
     // The lists of this incarnation have been read under the current epoch: the executor refuses
     // orders of earlier epochs, so that no run can start that the lists do not contain.
     bool has_view_ = false;
+    std::uint64_t view_count_ = 0;
     std::map<run_key, order_state> pending_starts_;
     std::map<run_key, order_state> pending_stops_;
     std::map<run_key, running_task> running_;
--- a/libs/dispatch/src/agent.cpp
+++ b/libs/dispatch/src/agent.cpp
@@ -63,13 +63,15 @@
     return found;
 }
 
+bool agent::accepts_starts() const {
+    return executor_ && !executor_->is_draining && time_.now() < granted_until_;
+}
+
 void agent::start(const start_order& order, epoch_number epoch) {
     if (epoch != epoch_) {
         return;
     }
-    const bool can_start = executor_ && executor_->incarnation == order.incarnation &&
-                           !executor_->is_draining && time_.now() < granted_until_;
-    if (!can_start) {
+    if (!accepts_starts() || executor_->incarnation != order.incarnation) {
         orders_.report_start(order.task, order.run, start_outcome::not_started);
         return;
     }
@@ -161,6 +163,7 @@
     }
     const bool is_first = !has_view_;
     has_view_ = true;
+    ++view_count_;
     running_.clear();
     for (const auto& run : view.running) {
         running_.emplace(run_key(run.task, run.run), run);
@@ -244,7 +247,10 @@
         orders_.report_start(task, run, start_outcome::started);
         return;
     }
-    if (answer == start_answer::no_answer && state.attempts < max_start_attempts) {
+    // Checked again, since the agent may have been suspended or the executor may have begun to
+    // drain while the answer was awaited.
+    if (answer == start_answer::no_answer && state.attempts < max_start_attempts &&
+        accepts_starts()) {
         ++state.attempts;
         state.sent_at = time_.now();
         orders_.call_start(state.order, epoch_);
--- a/libs/dispatch/src/coordinator.cpp
+++ b/libs/dispatch/src/coordinator.cpp
@@ -184,6 +184,7 @@
         state_->clear_instance(index);
     }
     instance.is_linked = true;
+    instance.observed_at = state_->time.now();
     instance.executor = found.executor;
     instance.processed_completion = completion_number(0);
     instance.acknowledged_completion = completion_number(0);
@@ -292,12 +293,15 @@
 
 void coordinator::progress_reported(const instance_name& name,
                                     const std::vector<running_task>& running,
-                                    const interference_sample& sample) {
+                                    const interference_sample& sample, bool has_new_view) {
     const auto index = state_->find_instance(name);
     if (!index) {
         return;
     }
     auto& instance = state_->instances[*index];
+    if (has_new_view) {
+        state_->record_view(instance);
+    }
     instance.sample = sample;
     state_->interference.observe(name.value(), state_->time.now(), sample);
     for (const auto& run : running) {
--- a/libs/dispatch/src/coordinator_state.hpp
+++ b/libs/dispatch/src/coordinator_state.hpp
@@ -150,6 +150,7 @@
     [[nodiscard]] bool should_move(const task_key& key, const task_state& task,
                                    instance_state& instance);
     void stop_stalled_tasks();
+    void record_view(instance_state& instance);
     bool place_step(const ready_step& step);
     bool place_gang(const ready_step& step);
     void place_task(const ready_step& step, std::uint32_t index, std::size_t instance);
--- a/libs/dispatch/src/placement.hpp
+++ b/libs/dispatch/src/placement.hpp
@@ -62,6 +62,8 @@
     instance_health health;
     completion_number processed_completion;
     completion_number acknowledged_completion;
+    // When the progress of the executor's tasks was last known.
+    instant observed_at;
     // The latest measurements of the executor.
     interference_sample sample;
     // Capacity is reserved for a waiting task of priority 0.
--- a/libs/dispatch/src/planning.cpp
+++ b/libs/dispatch/src/planning.cpp
@@ -18,6 +18,9 @@
 // A task without progress for this long is stalled: reports arrive every 0.3 s, reading the
 // executor's lists may take 1.2 s, and runs of up to 200 s advance by one percent within 2 s.
 constexpr milliseconds min_stall_timeout{2'000};
+// Longest time between two views of an instance that reports as it should: an executor may delay
+// its lists by 0.5 s, and reports are sent every 0.3 s.
+constexpr milliseconds max_view_gap{1'000};
 // Longer tasks may go without progress for their estimate divided by this.
 constexpr int stall_timeout_divisor = 20;
 // A job without an assigned task for this long is placed by capacity alone, so that quarantines and
@@ -360,6 +363,19 @@
     mark_dirty(job);
 }
 
+// Time in which nothing is known of an instance, since it or its agent was suspended, slow or cut
+// off, does not count as time without progress.
+void coordinator::state::record_view(instance_state& instance) {
+    const instant now = time.now();
+    const auto gap = now - instance.observed_at;
+    if (gap > max_view_gap) {
+        for (const auto& key : instance.tasks) {
+            find_task(key)->progressed_at += gap - max_view_gap;
+        }
+    }
+    instance.observed_at = now;
+}
+
 // Stops batch tasks without progress, which occur on instances that otherwise seem healthy, and
 // counts each as a failure of the instance.
 void coordinator::state::stop_stalled_tasks() {
@@ -379,7 +395,7 @@
                                       !spec.is_gang &&
                                       !(spec.is_filler && !instance.serving_tasks_by_image.empty());
             const auto limit = std::max(min_stall_timeout, spec.estimate / stall_timeout_divisor);
-            if (is_monitored && now - task.progressed_at >= limit) {
+            if (is_monitored && instance.observed_at - task.progressed_at >= limit) {
                 task.last_failed_instance = i;
                 instance.health.failed(key.job, now);
                 stop_task(key, task);
--- a/libs/dispatch/tests/agent_test.cpp
+++ b/libs/dispatch/tests/agent_test.cpp
@@ -96,6 +96,25 @@
     CHECK(f.orders.outcomes[0] == start_outcome::not_started);
 }
 
+// Guards against an agent that acts on a permission that ran out while it was suspended, or while
+// it waited for an answer.
+TEST_CASE("an unanswered start is not repeated after the lease has run out or a drain has begun") {
+    fixture f;
+    f.start();
+    SUBCASE("the lease has run out") {
+        f.time.advance(std::chrono::seconds(11));
+    }
+    SUBCASE("the executor drains") {
+        auto draining = fixture::info();
+        draining.is_draining = true;
+        f.core.executor_reported(draining);
+    }
+    f.core.start_answered(task, first_run, start_answer::no_answer);
+    CHECK(f.orders.starts == 1);
+    CHECK(f.orders.stops == 1);
+    CHECK(f.orders.outcomes.empty());
+}
+
 TEST_CASE("a view requested before the stop was confirmed does not resolve the stop") {
     fixture f;
     f.start();
--- a/libs/dispatch_node/include/tanagerpaddle/dispatch_node.hpp
+++ b/libs/dispatch_node/include/tanagerpaddle/dispatch_node.hpp
@@ -219,7 +219,14 @@
     // Stores the job and calls `done` by `until`. A job that is already stored is accepted.
     void submit(const submitted_job& job, deadline until, std::function<void(submit_outcome)> done);
 
-    enum class lookup : std::uint8_t { found, missing, unavailable };
+    enum class lookup : std::uint8_t {
+        found,
+        missing,
+        // The store does not answer, and nothing was stored.
+        unavailable,
+        // Of a cancellation: it may have been stored and may take effect.
+        unknown,
+    };
     void status(const job_id& job, deadline until,
                 const std::function<void(lookup, job_phase)>& done);
     // lookup::found means that the cancellation is durable.
--- a/libs/dispatch_node/src/agent_node.cpp
+++ b/libs/dispatch_node/src/agent_node.cpp
@@ -176,6 +176,7 @@
         reported_progress = std::move(current_progress);
         send({{"t", "beat"},
               {"at", time.now().time_since_epoch().count()},
+              {"views", core.view_count()},
               {"sample", messages::encode(core.sample())},
               {"running", std::move(running)}});
     }
--- a/libs/dispatch_node/src/entry_node.cpp
+++ b/libs/dispatch_node/src/entry_node.cpp
@@ -307,9 +307,7 @@
         transaction.part = part_of(call->job.id);
         transaction.conditions.push_back({job_table, call->job.id.value(), row_version(0)});
         transaction.puts.push_back({job_table, call->job.id.value(), encode_job(call->job)});
-        const auto bound =
-            std::max(first_submit_timeout, owner.store_latency() * store_timeout_factor);
-        const auto timeout = call->may_be_stored ? left : std::min(left, bound);
+        const auto timeout = call->may_be_stored ? left : attempt_timeout(call->until);
         store.transact(transaction, timeout,
                        [self = shared_from_this(), call](const transaction_result& result) {
                            self->on_stored(call, result);
@@ -409,30 +407,77 @@
             });
     }
 
-    void cancel(const job_id& job, deadline until, const std::function<void(lookup)>& done) {
-        read_job(job, until,
-                 [self = shared_from_this(), job, until, done](const read_result& found) {
-                     if (found.outcome != store_outcome::done) {
-                         done(lookup::unavailable);
+    // --- cancellations
+    struct cancel_call {
+        job_id job;
+        deadline until;
+        std::function<void(lookup)> done;
+        // An earlier attempt may have stored the cancellation.
+        bool may_be_stored = false;
+        bool was_rejected = false;
+
+        void fail() const { done(may_be_stored ? lookup::unknown : lookup::unavailable); }
+    };
+
+    // The time for one attempt. An attempt without an answer is repeated, on another connection.
+    [[nodiscard]] milliseconds attempt_timeout(deadline until) const {
+        const auto bound =
+            std::max(first_submit_timeout, owner.store_latency() * store_timeout_factor);
+        return std::min(until.remaining(time.now()), bound);
+    }
+
+    void cancel(const std::shared_ptr<cancel_call>& call) {
+        const auto timeout = attempt_timeout(call->until);
+        if (timeout.count() == 0) {
+            call->fail();
+            return;
+        }
+        read_job(call->job, deadline::after(time.now(), timeout),
+                 [self = shared_from_this(), call](const read_result& found) {
+                     if (found.outcome == store_outcome::unknown) {
+                         self->cancel(call);
+                     } else if (found.outcome != store_outcome::done) {
+                         self->retry_cancel(call);
                      } else if (found.rows.empty()) {
-                         done(lookup::missing);
+                         call->done(lookup::missing);
                      } else if (found.rows.size() > 1) {
-                         done(lookup::found);
+                         call->done(lookup::found);
                      } else {
-                         self->write_cancellation(job, until, done);
+                         self->write_cancellation(call);
                      }
                  });
     }
 
-    void write_cancellation(const job_id& job, deadline until,
-                            const std::function<void(lookup)>& done) {
+    void write_cancellation(const std::shared_ptr<cancel_call>& call) {
+        const auto timeout = attempt_timeout(call->until);
+        if (timeout.count() == 0) {
+            call->fail();
+            return;
+        }
         row_transaction transaction;
-        transaction.part = part_of(job);
-        transaction.puts.push_back({job_table, job.value() + cancel_suffix, "{}"});
-        store.transact(
-            transaction, until.remaining(time.now()), [done](const transaction_result& result) {
-                done(result.outcome == store_outcome::done ? lookup::found : lookup::unavailable);
-            });
+        transaction.part = part_of(call->job);
+        transaction.puts.push_back({job_table, call->job.value() + cancel_suffix, "{}"});
+        store.transact(transaction, timeout,
+                       [self = shared_from_this(), call](const transaction_result& result) {
+                           if (result.outcome == store_outcome::done) {
+                               call->done(lookup::found);
+                           } else if (result.outcome == store_outcome::unknown) {
+                               call->may_be_stored = true;
+                               self->cancel(call);
+                           } else {
+                               self->retry_cancel(call);
+                           }
+                       });
+    }
+
+    // After a second rejection the caller is answered while it can still try another entry.
+    void retry_cancel(const std::shared_ptr<cancel_call>& call) {
+        if (call->was_rejected) {
+            call->fail();
+            return;
+        }
+        call->was_rejected = true;
+        loop.after(submit_retry_delay, [self = shared_from_this(), call] { self->cancel(call); });
     }
 
     eventio::event_loop& loop;
@@ -508,7 +553,11 @@
 
 void entry_node::cancel(const job_id& job, deadline until,
                         const std::function<void(lookup)>& done) {
-    state_->cancel(job, until, done);
+    auto call = std::make_shared<state::cancel_call>();
+    call->job = job;
+    call->until = deadline(until.when() - response_reserve);
+    call->done = done;
+    state_->cancel(call);
 }
 
 void entry_node::queued_jobs(const queue_id& queue, deadline until,
--- a/libs/dispatch_node/src/owner_links.cpp
+++ b/libs/dispatch_node/src/owner_links.cpp
@@ -194,8 +194,15 @@
     for (const auto& run : message.at("running")) {
         running.push_back(messages::decode_running(run));
     }
-    coordinator_.progress_reported(instance, running,
-                                   messages::decode_sample(message.at("sample")));
+    // Agents of earlier versions do not send the number.
+    std::optional<std::uint64_t> view_count;
+    if (message.contains("views")) {
+        view_count = messages::decode_unsigned<std::uint64_t>(message.at("views"));
+    }
+    const bool has_new_view = !view_count || view_count != agent.view_count;
+    agent.view_count = view_count;
+    coordinator_.progress_reported(instance, running, messages::decode_sample(message.at("sample")),
+                                   has_new_view);
     if (may_grant()) {
         agent.runs_end_by = env_.time->now() + env_.timing.expiry_delay();
         send(instance, {{"t", "grant"}, {"at", message.at("at")}});
--- a/libs/dispatch_node/src/owner_session.hpp
+++ b/libs/dispatch_node/src/owner_session.hpp
@@ -70,6 +70,8 @@
         instant retry_at;
         int connect_failures = 0;
         std::uint64_t claim_count = 0;
+        // Number of views in the newest heartbeat.
+        std::optional<std::uint64_t> view_count;
     };
 
     void load_progress(const std::string& from);
--- a/libs/dispatch_node/tests/entry_node_test.cpp
+++ b/libs/dispatch_node/tests/entry_node_test.cpp
@@ -169,6 +169,38 @@
     CHECK(f.status("0123456789abcdef").second == job_phase::cancelled);
 }
 
+// Guards against callers being told that their cancellation was not accepted although it took
+// effect.
+TEST_CASE("a cancellation whose answer is lost is repeated, and otherwise reported as unknown") {
+    fixture f;
+    f.submit("0123456789abcdef");
+    f.store.loses_answers = true;
+    SUBCASE("a later attempt is answered") {
+        f.loop.after(milliseconds(100), [&] { f.store.loses_answers = false; });
+        CHECK(f.cancel("0123456789abcdef") == entry_node::lookup::found);
+    }
+    SUBCASE("no attempt is answered, and later ones are rejected") {
+        f.loop.after(milliseconds(100), [&] { f.store.is_down = true; });
+        CHECK(f.cancel("0123456789abcdef") == entry_node::lookup::unknown);
+    }
+    f.store.loses_answers = false;
+    f.store.is_down = false;
+    f.run_for(milliseconds(1'500));
+    CHECK(f.status("0123456789abcdef").second == job_phase::cancelled);
+}
+
+TEST_CASE("a cancellation that the store rejects is reported as unavailable and not stored") {
+    fixture f;
+    f.submit("0123456789abcdef");
+    f.store.is_down = true;
+    const instant begun = f.time.now();
+    CHECK(f.cancel("0123456789abcdef") == entry_node::lookup::unavailable);
+    CHECK(f.time.now() - begun < milliseconds(500));
+    f.store.is_down = false;
+    f.run_for(milliseconds(1'500));
+    CHECK(f.status("0123456789abcdef").second == job_phase::pending);
+}
+
 TEST_CASE("the owner reads a table again after the store has lost its history") {
     fixture f;
     f.store.has_lost_history = true;
