dispatch: nothing starts on an instance whose lists were not read for 2 s

Cause: since late reports no longer count as stalls, an executor that does not list its runs was not quarantined any more, while it seemed to have free capacity; starts there stay unresolved. Ruled out: counting them as stalls again, which gives up healthy work. Change: accepts_starts needs a view of at most 2 s of age. Result: the new case of late_reports_test fails without the check; dispatch_test 58 of 58.

--- a/libs/dispatch/src/placement.cpp
+++ b/libs/dispatch/src/placement.cpp
@@ -13,6 +13,10 @@
 // Duration of the first quarantine; doubles with each further one, up to the maximum.
 constexpr milliseconds initial_quarantine{2'000};
 constexpr int max_quarantine_doublings = 3;
+// Age of the last view of an instance up to which tasks start there. An executor that does not list
+// its runs may not start any either, and what was started there cannot be resolved. Twice the
+// longest time between views of an instance that reports as it should.
+constexpr milliseconds max_view_age{2'000};
 // Share of the processors reserved by serving tasks that fillers may use: serving tasks reserve for
 // their peak.
 constexpr std::int64_t reclaimable_percent = 50;
@@ -216,7 +220,8 @@
 }
 
 bool accepts_starts(const instance_state& instance, const placement_context& context) {
-    return instance.is_linked && instance.executor && !instance.executor->is_draining &&
+    return instance.is_linked && context.now - instance.observed_at <= max_view_age &&
+           instance.executor && !instance.executor->is_draining &&
            context.evacuated->count(instance.executor->domain) == 0;
 }
 
--- a/libs/dispatch/tests/late_reports_test.cpp
+++ b/libs/dispatch/tests/late_reports_test.cpp
@@ -46,13 +46,18 @@
         jobs.instance_claimed(name, {info, {}, {}});
         jobs.add_job(job, milliseconds(0));
         jobs.plan();
-        static_cast<void>(jobs.begin_write());
-        jobs.write_done();
+        write();
         REQUIRE(orders.started.size() == 1);
         const auto& order = orders.started.front();
         jobs.start_reported(name, order.task, order.run, start_outcome::started);
         report(50, true);
     }
+    void write() {
+        if (jobs.has_writes()) {
+            static_cast<void>(jobs.begin_write());
+            jobs.write_done();
+        }
+    }
     void report(int percent, bool has_new_view) {
         time.advance(report_interval);
         const auto& order = orders.started.front();
@@ -83,6 +88,19 @@
     CHECK(f.orders.stops == 0);
 }
 
+// Guards against a silent executor that attracts tasks because it seems to have free capacity.
+TEST_CASE("nothing starts on an instance without a recent view, until the next one") {
+    fixture f;
+    f.report_for(milliseconds(3'000), false);
+    f.jobs.add_job(make_job("later", {1, 1, 1'000, milliseconds(10'000), false}), milliseconds(0));
+    f.report(50, false);
+    f.write();
+    CHECK(f.orders.started.size() == 1);
+    f.report(50, true);
+    f.write();
+    CHECK(f.orders.started.size() == 2);
+}
+
 TEST_CASE(
     "the first view after a silence stops nothing, but a task that then stands still is stopped") {
     fixture f;
--- a/libs/dispatch/tests/placement_test.cpp
+++ b/libs/dispatch/tests/placement_test.cpp
@@ -26,6 +26,7 @@
     instance_state instance;
     instance.name = instance_name(name);
     instance.is_linked = true;
+    instance.observed_at = start;
     executor_info info;
     info.id = executor_id("executor-" + name);
     info.service = service_id("service");
