dispatch_node: the owner logs when it reads a job and its cancellation, and the phase behind a stop

Operators could not tell from the log of a task that started after the cancellation of its job whether the owner had not read the cancellation yet, had read it before the job, or had sent a stop that did not arrive: the row of a job left no line, and a stop gave no reason.

job_added and job_cancelled now give the row's version and the phase of the job, stop_ordered the phase of its job. One line more for each job; jobs that are read when an owner takes over are counted by jobs_loaded only.

--- a/libs/dispatch_node/src/owner_session.cpp
+++ b/libs/dispatch_node/src/owner_session.cpp
@@ -127,7 +127,9 @@
     if (is_cancel_key(key)) {
         const job_id job(key.substr(0, key.size() - std::string_view(cancel_suffix).size()));
         log_event(log_level::info, "job_cancelled",
-                  {{"job", job.value()}, {"row_version", row.version.value()}});
+                  {{"job", job.value()},
+                   {"row_version", row.version.value()},
+                   {"job_phase", phase_name(job)}});
         coordinator_.cancel_job(job);
         return;
     }
@@ -136,13 +138,25 @@
         job.id = job_id(key);
         const auto age = std::clamp<std::int64_t>(
             env_.time->utc_now().value() - job.accepted_at.value(), 0, 60'000);
+        const bool is_new = !coordinator_.status(job.id);
         coordinator_.add_job(job, milliseconds(is_loaded_ ? 0 : age));
+        if (is_new && is_loaded_) {
+            log_event(log_level::info, "job_added",
+                      {{"job", key},
+                       {"row_version", row.version.value()},
+                       {"job_phase", phase_name(job.id)}});
+        }
     } catch (const error& failure) {
         log_event(log_level::error, "job_row_unreadable",
                   {{"job", key}, {"message", failure.what()}});
     }
 }
 
+std::string_view owner_session::phase_name(const job_id& job) const {
+    const auto found = coordinator_.status(job);
+    return found ? name(found->phase) : "unknown";
+}
+
 void owner_session::finish_loading() {
     for (const auto& row : progress_) {
         if (!coordinator_.restore(job_id(row.address.key), row.value, unclaimed_runs_end_by_)) {
@@ -216,7 +230,10 @@
 
 void owner_session::stop(const instance_name& instance, const task_key& task, run_number run) {
     log_event(log_level::info, "stop_ordered",
-              {{"task", to_string(task)}, {"run", run.value()}, {"agent", instance.value()}});
+              {{"task", to_string(task)},
+               {"run", run.value()},
+               {"agent", instance.value()},
+               {"job_phase", phase_name(task.job)}});
     send(instance, {{"t", "stop"}, {"task", messages::encode(task)}, {"run", run.value()}});
 }
 
--- a/libs/dispatch_node/src/owner_session.hpp
+++ b/libs/dispatch_node/src/owner_session.hpp
@@ -76,6 +76,8 @@
 
     void load_progress(const std::string& from);
     void add_row(const stored_row& row);
+    // The phase of the job for the log, or "unknown".
+    [[nodiscard]] std::string_view phase_name(const job_id& job) const;
     void finish_loading();
     void watch_agents();
     void connect(const instance_name& instance);
