dispatch_node: a watch that the store may have lost is repeated before its timeout

Callers saw tasks of jobs start more than 3 s after the cancellation was confirmed (UNASKED), and the owner learnt of new jobs late, for up to 6 s after a silent store had returned.

Cause: the timeout of a watch grows with each failure, to 6 s, so that a slow store can answer. A store that is silent loses the calls: the one that was sent just before it returned was awaited until its timeout. Writes go on at once meanwhile, so that the owner starts tasks by a list of jobs that lacks the confirmed cancellations.

Change: in a round with a longer timeout another call is sent every 1.6 s, the time in which a lost call is detected otherwise; the first answer ends the round, later ones have no effect. Ruled out: shorter timeouts, since a slow store would never answer in time, and starts that wait for a current list, which would stand still for those 6 s.

--- a/libs/dispatch_node/src/table_watcher.cpp
+++ b/libs/dispatch_node/src/table_watcher.cpp
@@ -72,26 +72,56 @@
     }
 
     void watch() {
+        ++round;
+        unanswered = 0;
+        call_watch();
+    }
+
+    // The store may have lost the call, and its timeout is long after failures: another call is
+    // sent meanwhile, and the first answer counts.
+    void call_watch() {
+        ++unanswered;
         const instant request_sent_at = time.now();
         store.watch(config.table, version, max_watch_wait, max_watch_wait + answer_slack,
-                    [self = shared_from_this(), request_sent_at](const read_result& result) {
-                        self->on_watched(request_sent_at, result);
+                    [self = shared_from_this(), request_sent_at,
+                     call_round = round](const read_result& result) {
+                        if (self->round == call_round) {
+                            self->on_watched(request_sent_at, result);
+                        }
                     });
+        if (answer_slack == min_answer_slack) {
+            return;
+        }
+        loop.after(max_watch_wait + min_answer_slack,
+                   [weak = weak_from_this(), call_round = round] {
+                       const auto self = weak.lock();
+                       if (self && !self->is_closed && self->round == call_round) {
+                           self->call_watch();
+                       }
+                   });
     }
 
     void on_watched(instant request_sent_at, const read_result& result) {
         if (is_closed) {
             return;
         }
-        if (result.outcome == store_outcome::history_expired) {
-            log_event(log_level::info, "table_history_gone", {{"table", config.table}});
-            read_all();
+        --unanswered;
+        const bool has_failed = result.outcome != store_outcome::done &&
+                                result.outcome != store_outcome::history_expired;
+        if (has_failed && unanswered > 0) {
+            count_failure("table_watch_failed");
             return;
         }
-        if (result.outcome != store_outcome::done) {
+        ++round;
+        if (has_failed) {
             on_failure("table_watch_failed", [](state& self) { self.watch(); });
             return;
         }
+        if (result.outcome == store_outcome::history_expired) {
+            log_event(log_level::info, "table_history_gone", {{"table", config.table}});
+            read_all();
+            return;
+        }
         on_success(request_sent_at);
         version = std::max(version, result.version);
         if (!result.rows.empty()) {
@@ -112,11 +142,15 @@
         }
     }
 
-    void on_failure(std::string_view event, void (*retry)(state&)) {
+    void count_failure(std::string_view event) {
         if (failure_count++ == 0) {
             log_event(log_level::warning, event, {{"table", config.table}});
         }
         answer_slack = std::min(answer_slack * 2, max_answer_slack);
+    }
+
+    void on_failure(std::string_view event, void (*retry)(state&)) {
+        count_failure(event);
         loop.after(retry_delay, [weak = weak_from_this(), retry] {
             const auto self = weak.lock();
             if (self && !self->is_closed) {
@@ -134,6 +168,9 @@
     row_version version;
     instant confirmed_at;
     milliseconds answer_slack = min_answer_slack;
+    // Calls of the current round have the same version; those of earlier rounds have no effect.
+    std::uint64_t round = 0;
+    int unanswered = 0;
     std::uint64_t failure_count = 0;
     bool is_loaded = false;
     bool is_closed = false;
--- a/libs/dispatch_node/tests/fake_store.hpp
+++ b/libs/dispatch_node/tests/fake_store.hpp
@@ -59,8 +59,21 @@
         loop_.after(latency, [done, result] { done(result); });
     }
 
-    void watch(const std::string& table, row_version after, milliseconds wait, milliseconds,
+    void watch(const std::string& table, row_version after, milliseconds wait, milliseconds timeout,
                std::function<void(const read_result&)> done) override {
+        ++watches;
+        if (loses_watches) {
+            loop_.after(timeout, [done] { done({}); });
+            return;
+        }
+        if (watch_delay.count() > 0) {
+            const bool is_late = watch_delay + wait > timeout;
+            loop_.after(is_late ? timeout : watch_delay + wait,
+                        [this, table, after, done, is_late] {
+                            is_late ? done({}) : poll(table, after, milliseconds(0), done);
+                        });
+            return;
+        }
         poll(table, after, wait, std::move(done));
     }
 
@@ -81,10 +94,15 @@
     row_version version;
     int transactions = 0;
     int job_writes = 0;
+    int watches = 0;
     milliseconds latency{2};
     bool is_down = false;
     bool loses_requests = false;
     bool loses_answers = false;
+    // Watches are answered this long after their wait.
+    milliseconds watch_delay{0};
+    // Watches that begin meanwhile are never answered.
+    bool loses_watches = false;
     bool has_lost_history = false;
 
 private:
--- /dev/null
+++ b/libs/dispatch_node/tests/table_watcher_test.cpp
@@ -0,0 +1,72 @@
+// How soon a watched table is up to date after faults of the store.
+
+#include <doctest/doctest.h>
+
+#include "fake_store.hpp"
+
+using namespace tanagerpaddle;
+using namespace tanagerpaddle::dispatch;
+using namespace tanagerpaddle::dispatch::testing;
+
+namespace {
+
+struct fixture {
+    eventio::event_loop loop;
+    system_clock time;
+    fake_store store{loop};
+    std::vector<std::string> keys;
+    instant changed_at;
+    table_watcher watcher{loop, store, table_watcher::options{"table", {"part"}},
+                          [this](const std::vector<stored_row>& rows, bool) {
+                              for (const auto& row : rows) {
+                                  keys.push_back(row.address.key);
+                                  changed_at = time.now();
+                              }
+                          }};
+
+    void run_for(milliseconds limit) {
+        loop.after(limit, [this] { loop.stop(); });
+        loop.run();
+    }
+};
+
+}  // namespace
+
+// Guards against starts of cancelled jobs: calls that a silent store had lost were awaited for up
+// to 6 s, since their timeout grows with each failure, and the owner saw no cancellation meanwhile.
+TEST_CASE("changes are seen within 2 s after a silent store answers again") {
+    fixture f;
+    f.run_for(milliseconds(50));
+    f.store.loses_watches = true;
+    // The third call is sent just before the end of the silence.
+    f.run_for(milliseconds(5'200));
+    f.store.loses_watches = false;
+    f.store.put("table", "part", "key", "value");
+    const instant returned_at = f.time.now();
+    f.run_for(milliseconds(3'800));
+    REQUIRE(f.keys == std::vector<std::string>{"key"});
+    CHECK(f.changed_at - returned_at < milliseconds(2'000));
+}
+
+// Guards against a watch that runs several times at once after a fault, and loads the store.
+TEST_CASE("one call at a time watches a table once the store answers again") {
+    fixture f;
+    f.run_for(milliseconds(50));
+    f.store.loses_watches = true;
+    f.run_for(milliseconds(4'500));
+    f.store.loses_watches = false;
+    f.run_for(milliseconds(3'500));
+    const int before = f.store.watches;
+    f.run_for(milliseconds(2'100));
+    CHECK(f.store.watches - before <= 3);
+}
+
+// Guards against a watch of a slow store that never waits long enough for an answer.
+TEST_CASE("a table is watched although the store answers each call 2 s late") {
+    fixture f;
+    f.store.watch_delay = milliseconds(2'000);
+    f.run_for(milliseconds(50));
+    f.store.put("table", "part", "key", "value");
+    f.run_for(milliseconds(9'000));
+    CHECK_FALSE(f.keys.empty());
+}
