dispatch_node: the rows of a job are found by key, not by their number

Callers of a job whose identifier is the beginning of another one's would get the state of that other job, and their cancellation would be answered with success without being stored.

Cause: read_job reads a range of keys and took the number of rows for its meaning: one is the job, two are the job and its cancellation. The range holds rows of other jobs as well.

Change: the rows of the job and of its cancellation are looked for by their keys, and the progress row is read by its key alone.

--- a/libs/dispatch_node/src/entry_node.cpp
+++ b/libs/dispatch_node/src/entry_node.cpp
@@ -364,31 +364,47 @@
                     });
     }
 
-    // Reads the rows of the job: the submitted job, and its cancellation if there is one.
-    void read_job(const job_id& job, deadline until, std::function<void(const read_result&)> done) {
+    struct job_rows {
+        store_outcome outcome = store_outcome::unknown;
+        bool is_stored = false;
+        bool is_cancelled = false;
+    };
+
+    // Reads the rows of the job: the submitted job, and its cancellation if there is one. The range
+    // may hold rows of other jobs whose identifiers begin with this one.
+    void read_job(const job_id& job, deadline until, std::function<void(const job_rows&)> done) {
         // '0' sorts directly after '/', the first character of cancel_suffix.
-        store.read(job_table, part_of(job), job.value(), job.value() + "0",
-                   until.remaining(time.now()), std::move(done));
+        store.read(
+            job_table, part_of(job), job.value(), job.value() + "0", until.remaining(time.now()),
+            [job, done = std::move(done)](const read_result& result) {
+                job_rows rows;
+                rows.outcome = result.outcome;
+                for (const auto& row : result.rows) {
+                    const auto& key = row.address.key;
+                    rows.is_stored = rows.is_stored || key == job.value();
+                    rows.is_cancelled = rows.is_cancelled || key == job.value() + cancel_suffix;
+                }
+                done(rows);
+            });
     }
 
     void status_from_store(const job_id& job, deadline until, const status_handler& done) {
-        read_job(job, until,
-                 [self = shared_from_this(), job, until, done](const read_result& result) {
-                     if (result.outcome != store_outcome::done) {
-                         done(lookup::unavailable, job_phase::pending);
-                     } else if (result.rows.empty()) {
-                         done(lookup::missing, job_phase::pending);
-                     } else {
-                         self->progress_from_store(job, until, result.rows.size() > 1, done);
-                     }
-                 });
+        read_job(job, until, [self = shared_from_this(), job, until, done](const job_rows& found) {
+            if (found.outcome != store_outcome::done) {
+                done(lookup::unavailable, job_phase::pending);
+            } else if (!found.is_stored) {
+                done(lookup::missing, job_phase::pending);
+            } else {
+                self->progress_from_store(job, until, found.is_cancelled, done);
+            }
+        });
     }
 
     void progress_from_store(const job_id& job, deadline until, bool is_cancelled,
                              const status_handler& done) {
         store.read(
-            progress_table, owner_part, job.value(), job.value() + "0", until.remaining(time.now()),
-            [is_cancelled, job, done](const read_result& result) {
+            progress_table, owner_part, job.value(), job.value() + key_successor_suffix,
+            until.remaining(time.now()), [is_cancelled, job, done](const read_result& result) {
                 if (result.outcome != store_outcome::done) {
                     done(lookup::unavailable, job_phase::pending);
                     return;
@@ -433,14 +449,14 @@
             return;
         }
         read_job(call->job, deadline::after(time.now(), timeout),
-                 [self = shared_from_this(), call](const read_result& found) {
+                 [self = shared_from_this(), call](const job_rows& found) {
                      if (found.outcome == store_outcome::unknown) {
                          self->cancel(call);
                      } else if (found.outcome != store_outcome::done) {
                          self->retry_cancel(call);
-                     } else if (found.rows.empty()) {
+                     } else if (!found.is_stored) {
                          call->done(lookup::missing);
-                     } else if (found.rows.size() > 1) {
+                     } else if (found.is_cancelled) {
                          call->done(lookup::found);
                      } else {
                          self->write_cancellation(call);
--- a/libs/dispatch_node/tests/entry_node_test.cpp
+++ b/libs/dispatch_node/tests/entry_node_test.cpp
@@ -201,6 +201,20 @@
     CHECK(f.status("0123456789abcdef").second == job_phase::pending);
 }
 
+// Guards against rows of another job being taken for the job's own or for its cancellation.
+TEST_CASE("a job is not confused with a job whose identifier begins with its own") {
+    fixture f(false);
+    const std::string part = part_of(job_id("job"));
+    f.store.put(job_table, part, "job-2", "{}");
+    f.store.put(progress_table, owner_part, "job-2", R"({"p":2})");
+    CHECK(f.status("job").first == entry_node::lookup::missing);
+    CHECK(f.cancel("job") == entry_node::lookup::missing);
+    f.store.put(job_table, part, "job", "{}");
+    CHECK(f.status("job") == std::pair(entry_node::lookup::found, job_phase::pending));
+    CHECK(f.cancel("job") == entry_node::lookup::found);
+    CHECK(f.status("job") == std::pair(entry_node::lookup::found, job_phase::cancelled));
+}
+
 TEST_CASE("the owner reads a table again after the store has lost its history") {
     fixture f;
     f.store.has_lost_history = true;
