dispatch: a job that is stored after its cancellation was confirmed is cancelled

Callers whose submission got no answer, and who then cancelled the job, got 410, which confirms the cancellation; the job ran all the same if the store carried the submission out afterwards.

Cause: a cancellation that found no row of the job left no trace, neither in the table nor with the owner, which forgot a cancellation of a job that it had not seen.

Change: the cancellation of an unknown job is stored as well, and 410 is answered only once it is durable (503 if the store refuses, 504 while it is unknown, as for known jobs). The owner remembers such cancellations; the job counts as cancelled when it arrives, also for a later owner, which reads both rows. A lookup by rows answers 410 while only the cancellation exists, then cancelled.

Cost: a row and an identifier in the owner's memory for each cancelled job that never arrives.

The test of confused identifiers cancelled a missing job and then stored it; it now cancels a missing job of its own, since that one would count as cancelled.

--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -437,6 +437,7 @@
     // resolves their state or `expires_at` has passed. Returns false if the row cannot be read;
     // such a row is ignored.
     bool restore(const job_id& job, std::string_view row, instant expires_at);
+    // A job that is added later counts as cancelled as well.
     void cancel_job(const job_id& job);
     // Returns std::nullopt for an unknown job. Only durable states are reported.
     [[nodiscard]] std::optional<job_status> status(const job_id& job) const;
--- a/libs/dispatch/src/coordinator.cpp
+++ b/libs/dispatch/src/coordinator.cpp
@@ -95,6 +95,9 @@
     if (job.spec.occurrences == 0) {
         ++state_->queued_job_counts[job.queue];
     }
+    if (state_->early_cancellations.erase(job.id) != 0) {
+        state_->finish_job(added, job_phase::cancelled);
+    }
 }
 
 bool coordinator::restore(const job_id& id, std::string_view row, instant expires_at) {
@@ -144,7 +147,9 @@
 
 void coordinator::cancel_job(const job_id& id) {
     auto* job = state_->find_job(id);
-    if (job != nullptr && !job->is_terminal()) {
+    if (job == nullptr) {
+        state_->early_cancellations.insert(id);
+    } else if (!job->is_terminal()) {
         state_->finish_job(*job, job_phase::cancelled);
     }
 }
--- a/libs/dispatch/src/coordinator_state.hpp
+++ b/libs/dispatch/src/coordinator_state.hpp
@@ -3,6 +3,7 @@
 // State of the coordinator, shared by its sources.
 
 #include <array>
+#include <unordered_set>
 
 #include "placement.hpp"
 #include "tanagerpaddle/dispatch.hpp"
@@ -167,6 +168,8 @@
     std::unordered_map<job_id, job_state> jobs;
     // Jobs that have not reached a terminal phase.
     std::set<job_id> active_jobs;
+    // Cancelled jobs that have not been added yet: a job may be stored after its cancellation.
+    std::unordered_set<job_id> early_cancellations;
     // Jobs with changes to write, in the order of the changes.
     std::deque<job_id> dirty_jobs;
     std::optional<write_in_progress> active_write;
--- a/libs/dispatch_node/include/tanagerpaddle/dispatch_node.hpp
+++ b/libs/dispatch_node/include/tanagerpaddle/dispatch_node.hpp
@@ -229,7 +229,8 @@
     };
     void status(const job_id& job, deadline until,
                 const std::function<void(lookup, job_phase)>& done);
-    // lookup::found means that the cancellation is durable.
+    // lookup::found and lookup::missing mean that the cancellation is durable: the job is cancelled
+    // even if it is stored only later.
     void cancel(const job_id& job, deadline until, const std::function<void(lookup)>& done);
     // Number of queued jobs of the queue; nullopt if neither this entry nor the owner can answer.
     void queued_jobs(const queue_id& queue, deadline until,
--- a/libs/dispatch_node/src/entry_node.cpp
+++ b/libs/dispatch_node/src/entry_node.cpp
@@ -428,6 +428,8 @@
         job_id job;
         deadline until;
         std::function<void(lookup)> done;
+        // The answer once the cancellation is durable: whether the job was stored by then.
+        lookup found = lookup::missing;
         // An earlier attempt may have stored the cancellation.
         bool may_be_stored = false;
         bool was_rejected = false;
@@ -442,6 +444,7 @@
         return std::min(until.remaining(time.now()), bound);
     }
 
+    // The cancellation of an unknown job is stored as well: a submission may still be on its way.
     void cancel(const std::shared_ptr<cancel_call>& call) {
         const auto timeout = attempt_timeout(call->until);
         if (timeout.count() == 0) {
@@ -454,11 +457,12 @@
                          self->cancel(call);
                      } else if (found.outcome != store_outcome::done) {
                          self->retry_cancel(call);
-                     } else if (!found.is_stored) {
-                         call->done(lookup::missing);
-                     } else if (found.is_cancelled) {
-                         call->done(lookup::found);
                      } else {
+                         call->found = found.is_stored ? lookup::found : lookup::missing;
+                         if (found.is_cancelled) {
+                             call->done(call->found);
+                             return;
+                         }
                          self->write_cancellation(call);
                      }
                  });
@@ -476,7 +480,7 @@
         store.transact(transaction, timeout,
                        [self = shared_from_this(), call](const transaction_result& result) {
                            if (result.outcome == store_outcome::done) {
-                               call->done(lookup::found);
+                               call->done(call->found);
                            } else if (result.outcome == store_outcome::unknown) {
                                call->may_be_stored = true;
                                self->cancel(call);
--- a/libs/dispatch_node/tests/entry_node_test.cpp
+++ b/libs/dispatch_node/tests/entry_node_test.cpp
@@ -169,6 +169,66 @@
     CHECK(f.status("0123456789abcdef").second == job_phase::cancelled);
 }
 
+// Guards against a job that runs although its cancellation was confirmed: the store may carry out a
+// submission seconds after the caller has given up waiting and has cancelled the job.
+TEST_CASE("a job that is stored after its cancellation was confirmed counts as cancelled") {
+    SUBCASE("the owner is asked") {
+        fixture f;
+        f.store.write_delay = milliseconds(1'500);
+        REQUIRE(f.submit("0123456789abcdef") == submit_outcome::unknown);
+        f.store.write_delay.reset();
+        CHECK(f.cancel("0123456789abcdef") == entry_node::lookup::missing);
+        CHECK(f.status("0123456789abcdef").first == entry_node::lookup::missing);
+        CHECK(f.cancel("0123456789abcdef") == entry_node::lookup::missing);
+        f.run_for(milliseconds(2'500));
+        CHECK(f.status("0123456789abcdef") ==
+              std::pair(entry_node::lookup::found, job_phase::cancelled));
+        CHECK(f.entry.count().jobs == 0);
+    }
+    SUBCASE("the store is asked, and the job is found in it by the next owner") {
+        fixture f(false);
+        CHECK(f.cancel("0123456789abcdef") == entry_node::lookup::missing);
+        CHECK(f.status("0123456789abcdef").first == entry_node::lookup::missing);
+        f.store.put(job_table, part_of(job_id("0123456789abcdef")), "0123456789abcdef",
+                    encode_job(make_job("0123456789abcdef")));
+        CHECK(f.status("0123456789abcdef") ==
+              std::pair(entry_node::lookup::found, job_phase::cancelled));
+        f.entry.start();
+        f.run_for(milliseconds(500));
+        REQUIRE(f.entry.is_owner());
+        CHECK(f.status("0123456789abcdef").second == job_phase::cancelled);
+        CHECK(f.entry.count().jobs == 0);
+    }
+    SUBCASE("it is stored after a change of the owner") {
+        fixture f(false);
+        CHECK(f.cancel("0123456789abcdef") == entry_node::lookup::missing);
+        f.entry.start();
+        f.run_for(milliseconds(500));
+        CHECK(f.submit("0123456789abcdef") == submit_outcome::accepted);
+        f.run_for(milliseconds(100));
+        CHECK(f.status("0123456789abcdef") ==
+              std::pair(entry_node::lookup::found, job_phase::cancelled));
+        CHECK(f.entry.count().jobs == 0);
+    }
+}
+
+// Guards against a confirmation that nothing durable backs.
+TEST_CASE("an unknown job is reported as missing only once its cancellation is durable") {
+    fixture f(false);
+    SUBCASE("writes are rejected") {
+        f.store.rejects_writes = true;
+        CHECK(f.cancel("0123456789abcdef") == entry_node::lookup::unavailable);
+    }
+    SUBCASE("writes are not answered and done later") {
+        f.store.write_delay = milliseconds(1'500);
+        CHECK(f.cancel("0123456789abcdef") == entry_node::lookup::unknown);
+    }
+    SUBCASE("the answer is lost and a later attempt finds the cancellation") {
+        f.store.loses_answers = true;
+        CHECK(f.cancel("0123456789abcdef") == entry_node::lookup::missing);
+    }
+}
+
 // Guards against callers being told that their cancellation was not accepted although it took
 // effect.
 TEST_CASE("a cancellation whose answer is lost is repeated, and otherwise reported as unknown") {
@@ -208,7 +268,8 @@
     f.store.put(job_table, part, "job-2", "{}");
     f.store.put(progress_table, owner_part, "job-2", R"({"p":2})");
     CHECK(f.status("job").first == entry_node::lookup::missing);
-    CHECK(f.cancel("job") == entry_node::lookup::missing);
+    f.store.put(job_table, part_of(job_id("unknown")), "unknown-2", "{}");
+    CHECK(f.cancel("unknown") == entry_node::lookup::missing);
     f.store.put(job_table, part, "job", "{}");
     CHECK(f.status("job") == std::pair(entry_node::lookup::found, job_phase::pending));
     CHECK(f.cancel("job") == entry_node::lookup::found);
--- a/libs/dispatch_node/tests/fake_store.hpp
+++ b/libs/dispatch_node/tests/fake_store.hpp
@@ -3,6 +3,7 @@
 // An in-memory implementation of row_store that can inject faults.
 
 #include <map>
+#include <optional>
 
 #include "tanagerpaddle/dispatch_node.hpp"
 
@@ -23,7 +24,16 @@
             loop_.after(timeout, [done] { done({store_outcome::unknown, {}, {}}); });
             return;
         }
+        if (rejects_writes) {
+            loop_.post([done] { done({store_outcome::rejected, {}, {}}); });
+            return;
+        }
         job_writes += transaction.puts.front().table == "jobs" ? 1 : 0;
+        if (write_delay) {
+            loop_.after(*write_delay, [this, transaction] { apply(transaction); });
+            loop_.after(timeout, [done] { done({store_outcome::unknown, {}, {}}); });
+            return;
+        }
         const auto result = apply(transaction);
         if (loses_answers) {
             loop_.after(timeout, [done] { done({store_outcome::unknown, {}, {}}); });
@@ -96,7 +106,10 @@
     int job_writes = 0;
     int watches = 0;
     milliseconds latency{2};
+    // Writes are not answered, and are done after this time.
+    std::optional<milliseconds> write_delay;
     bool is_down = false;
+    bool rejects_writes = false;
     bool loses_requests = false;
     bool loses_answers = false;
     // Watches are answered this long after their wait.
