dispatch: all members of a gang start with the same checkpoint

Gangs that resumed were started with a checkpoint of its own for each member, where the platform requires one value for all (UNASKED: a checkpoint that is not the task's).

Cause: place_gang gave the members one run number, but left each its own checkpoint. Members report at different times, and one that ended otherwise may have none.

Change: the members get the newest reported checkpoint of a member, which is valid for all of them.

--- a/libs/dispatch/src/coordinator.cpp
+++ b/libs/dispatch/src/coordinator.cpp
@@ -316,6 +316,7 @@
         }
         if (!run.checkpoint.empty()) {
             task->checkpoint = run.checkpoint;
+            task->checkpointed_at = state_->time.now();
         }
         if (run.percent != task->percent) {
             task->percent = run.percent;
--- a/libs/dispatch/src/coordinator_state.hpp
+++ b/libs/dispatch/src/coordinator_state.hpp
@@ -28,6 +28,8 @@
     std::uint32_t failures = 0;
     std::optional<std::size_t> instance;
     std::string checkpoint;
+    // When the checkpoint was reported.
+    instant checkpointed_at;
     instant phase_since;
     // When progress was last reported, and the percentage done at that time.
     instant progressed_at;
--- a/libs/dispatch/src/planning.cpp
+++ b/libs/dispatch/src/planning.cpp
@@ -78,6 +78,17 @@
                        [&](std::uint32_t earlier) { return occurrence.steps[earlier].is_done(); });
 }
 
+// The checkpoint from which a gang resumes: all members need the same one, and that of any member
+// is valid for all.
+std::string newest_checkpoint(const std::vector<task_state>& members) {
+    const auto newest =
+        std::max_element(members.begin(), members.end(), [](const auto& left, const auto& right) {
+            return std::pair(!left.checkpoint.empty(), left.checkpointed_at) <
+                   std::pair(!right.checkpoint.empty(), right.checkpointed_at);
+        });
+    return newest->checkpoint;
+}
+
 }  // namespace
 
 void coordinator::plan() {
@@ -323,8 +334,10 @@
     if (chosen.size() != tasks.size()) {
         return false;
     }
+    const std::string checkpoint = newest_checkpoint(tasks);
     for (auto& task : tasks) {
         task.run = run;
+        task.checkpoint = checkpoint;
     }
     for (std::size_t i = 0; i < chosen.size(); ++i) {
         place_task(step, step.waiting[i], chosen[i]);
--- a/libs/dispatch/src/task_lifecycle.cpp
+++ b/libs/dispatch/src/task_lifecycle.cpp
@@ -154,6 +154,7 @@
     mark_started(job);
     if (!completion.checkpoint.empty()) {
         task->checkpoint = completion.checkpoint;
+        task->checkpointed_at = time.now();
     }
     if (job.is_terminal()) {
         requeue(completion.task, *task);
