dispatch: the simulated system checks cancellations, payloads and checkpoints

The checks: no start more than 3 s (cancel_ms) after the cancellation, except of orders carried out late; runs of cancelled jobs are gone 3 s + 0.9 s (stopTimeoutMs) after the cancellation, counted from 3 s (contactMs) after a late start or after the last fault of the instance, its links, the owner or the store; payload as submitted; a checkpoint that the task or a member of its gang produced; one for all members of a gang in a run. Bounds are those of the users' page. Gangs end together. A new scenario cancels jobs before they arrive, and gangs, long-running tasks and checkpoints; the earlier scenarios draw the same numbers as before.

--- a/libs/dispatch/tests/random_faults_test.cpp
+++ b/libs/dispatch/tests/random_faults_test.cpp
@@ -63,6 +63,42 @@
     CHECK(system.open_jobs() == 0);
 }
 
+// Jobs of every shape, most of them cancelled at a random time: some before they arrive, as when
+// the store carries out a submission after the caller has given up.
+void run_cancellations(std::uint64_t seed, const world_faults& faults) {
+    CAPTURE(seed);
+    world_options options;
+    options.seed = seed;
+    world system(options);
+    system.set_faults(faults);
+    random_source random(seed * 977 + 2);
+    for (int i = 0; i < 30; ++i) {
+        job_shape shape;
+        shape.tasks = 1 + static_cast<std::uint32_t>(random.below(4));
+        shape.millicores_each = 500 + static_cast<std::int64_t>(random.below(1'500));
+        shape.run_time = milliseconds(500 + static_cast<std::int64_t>(random.below(6'000)));
+        shape.is_gang = random.chance(0.3);
+        shape.is_long_running = !shape.is_gang && random.chance(0.3);
+        shape.writes_checkpoints = random.chance(0.6);
+        const std::string id = "job-" + std::to_string(i);
+        if (random.chance(0.15)) {
+            system.cancel(job_id(id));
+            system.run_for(milliseconds(static_cast<std::int64_t>(random.below(4'000))));
+        }
+        system.submit(make_job(id, shape));
+        system.run_for(milliseconds(static_cast<std::int64_t>(random.below(3'000))));
+        if (shape.is_long_running || random.chance(0.5)) {
+            system.cancel(job_id(id));
+        }
+    }
+    system.set_faults({});
+    system.run_for(std::chrono::seconds(60));
+    for (const auto& violation : system.violations()) {
+        FAIL_CHECK("seed " << seed << ": " << violation);
+    }
+    CHECK(system.open_jobs() == 0);
+}
+
 }  // namespace
 
 // Runs only TANAGERPADDLE_SEED if it is set, to reproduce a failure.
@@ -102,3 +138,13 @@
         run_scenario(seed, faults);
     }
 }
+
+// Guards against runs of cancelled jobs, and against starts with contents that the task does not
+// have. TANAGERPADDLE_SEED and TANAGERPADDLE_SEEDS as above.
+TEST_CASE("cancelled jobs start nothing and stop, and starts carry what the task has") {
+    const auto only = number_from("TANAGERPADDLE_SEED", 0);
+    const auto last = only != 0 ? only : number_from("TANAGERPADDLE_SEEDS", seeds);
+    for (std::uint64_t seed = only != 0 ? only : 1; seed <= last; ++seed) {
+        run_cancellations(seed, all_faults());
+    }
+}
--- a/libs/dispatch/tests/world.cpp
+++ b/libs/dispatch/tests/world.cpp
@@ -13,6 +13,11 @@
 constexpr milliseconds plan_interval{20};
 constexpr milliseconds stop_time{100};
 constexpr milliseconds order_limit{400};
+constexpr milliseconds checkpoint_interval{200};
+// Bounds of the platform's page: cancel_ms, contactMs and stopTimeoutMs.
+constexpr milliseconds max_start_after_cancellation{3'000};
+constexpr milliseconds max_contact_time{3'000};
+constexpr milliseconds max_stop_time{900};
 
 using run_key = std::pair<task_key, run_number>;
 
@@ -32,12 +37,15 @@
     job.id = job_id(id);
     job.queue = queue_id("queue");
     job.rules = default_rules();
+    job.spec.payload = "payload of " + id;
     for (std::uint32_t s = 0; s < shape.steps; ++s) {
         step_spec step;
         step.task_count = shape.tasks;
         step.demand = {millicores(shape.millicores_each), mebibytes(100), accelerator_count(0)};
         step.estimate = shape.run_time;
         step.is_long_running = shape.is_long_running;
+        step.is_gang = shape.is_gang;
+        step.writes_checkpoints = shape.writes_checkpoints;
         if (s > 0) {
             step.depends_on = {s - 1};
         }
@@ -53,6 +61,9 @@
     instant began_at;
     instant ends_at;
     run_outcome how = run_outcome::succeeded;
+    // The executor carried the order out seconds after it was sent.
+    bool is_late = false;
+    bool is_overdue = false;
 };
 
 struct sim_executor {
@@ -89,6 +100,8 @@
     epoch_number claim;
     instant last_grant;
     bool hangs = false;
+    // When the last fault of this instance, its agent or its links ended.
+    instant calm_since;
 
     void call_start(const start_order& order, epoch_number epoch) override;
     void call_stop(const task_key& task, run_number run, epoch_number epoch) override;
@@ -203,7 +216,11 @@
     void pump();
     void finish_due_runs(sim_executor& executor, std::size_t index);
     void record_finish(sim_executor& executor, const run_key& key, run_outcome how);
-    void check_start(std::size_t index, const start_order& order);
+    void check_start(std::size_t index, const start_order& order, bool is_late);
+    void check_contents(const start_order& order, const std::string& what);
+    void check_cancelled_runs(std::size_t index);
+    std::string make_checkpoint(const task_key& task, run_number run, milliseconds work);
+    void end_gang(const run_key& key, run_outcome how);
     void restart_executor(std::size_t index);
     void record_acknowledged(sim_executor& executor, std::uint64_t number);
 
@@ -224,12 +241,16 @@
     std::vector<std::pair<step_key, std::vector<executor_id>>> permit_requests;
     // The table.
     std::map<job_id, submitted_job> accepted;
-    std::set<job_id> cancelled;
+    std::map<job_id, instant> cancelled;
     std::map<job_id, std::string> progress;
     // State of the invariant checks.
     std::set<task_key> succeeded_tasks;
     std::set<task_key> acknowledged_done;
     std::map<task_key, std::uint32_t> acknowledged_failures;
+    std::map<step_key, std::map<run_number, std::string>> gang_checkpoints;
+    std::map<task_key, std::set<std::string>> checkpoints;
+    // When the last takeover or outage of the store ended.
+    instant calm_since;
     std::size_t start_count = 0;
     std::vector<std::string> violations;
 };
@@ -237,7 +258,72 @@
 // ---------------------------------------------------------------------------------------------
 // Executors
 
-void world::state::check_start(std::size_t index, const start_order& order) {
+// Payloads and checkpoints: those of the job and its tasks, and one checkpoint for all members of a
+// gang.
+void world::state::check_contents(const start_order& order, const std::string& what) {
+    const auto& job = accepted.at(order.task.job);
+    const auto& spec = job.spec.steps.at(order.task.step);
+    if (order.payload != job.spec.payload) {
+        violation("started with another payload: " + what);
+    }
+    const std::uint32_t first = spec.is_gang ? 0 : order.task.index;
+    const std::uint32_t last = spec.is_gang ? spec.task_count - 1 : order.task.index;
+    bool is_known = order.checkpoint.empty();
+    for (std::uint32_t i = first; i <= last; ++i) {
+        const task_key member{order.task.job, order.task.occurrence, order.task.step, i};
+        is_known = is_known || checkpoints[member].count(order.checkpoint) != 0;
+    }
+    if (!is_known) {
+        violation("started with a checkpoint of no run of it, " + order.checkpoint + ": " + what);
+    }
+    if (spec.is_gang) {
+        const step_key step{order.task.job, order.task.occurrence, order.task.step};
+        const auto [position, is_first] =
+            gang_checkpoints[step].try_emplace(order.run, order.checkpoint);
+        if (!is_first && position->second != order.checkpoint) {
+            violation("members of a gang started with checkpoints " + position->second + " and " +
+                      order.checkpoint + ": " + what);
+        }
+    }
+}
+
+// Runs of a cancelled job are gone within the bounds once all that reaches the instance is calm.
+void world::state::check_cancelled_runs(std::size_t index) {
+    auto& instance = *instances[index];
+    if (instance.is_cut || time.now() < writes_fail_until) {
+        return;
+    }
+    for (auto& [key, run] : instance.executor.running) {
+        const auto found = cancelled.find(key.first.job);
+        if (found == cancelled.end() || run.is_overdue) {
+            continue;
+        }
+        const instant calm = std::max({calm_since, instance.calm_since, writes_fail_until});
+        const instant begin =
+            std::max({found->second, calm + max_contact_time,
+                      run.is_late ? run.began_at + max_contact_time : run.began_at});
+        if (time.now() > begin + max_start_after_cancellation + max_stop_time) {
+            run.is_overdue = true;
+            violation("runs on after the cancellation of its job: " + to_string(key.first) +
+                      " run " + std::to_string(key.second.value()) + " on " +
+                      instance.name.value());
+        }
+    }
+}
+
+// The checkpoint after this much work; it counts as produced by the task.
+std::string world::state::make_checkpoint(const task_key& task, run_number run, milliseconds work) {
+    if (!accepted.at(task.job).spec.steps.at(task.step).writes_checkpoints ||
+        work < checkpoint_interval) {
+        return {};
+    }
+    const std::string checkpoint = to_string(task) + "/" + std::to_string(run.value()) + "/" +
+                                   std::to_string(work / checkpoint_interval);
+    checkpoints[task].insert(checkpoint);
+    return checkpoint;
+}
+
+void world::state::check_start(std::size_t index, const start_order& order, bool is_late) {
     ++start_count;
     const auto& job = accepted.at(order.task.job);
     const auto& spec = job.spec.steps.at(order.task.step);
@@ -260,6 +346,12 @@
             }
         }
     }
+    const auto cancellation = cancelled.find(order.task.job);
+    if (cancellation != cancelled.end() && !is_late &&
+        time.now() > cancellation->second + max_start_after_cancellation) {
+        violation("started after the cancellation of its job: " + what);
+    }
+    check_contents(order, what);
     if (acknowledged_done.count(order.task) != 0) {
         violation("started after its success was acknowledged: " + what);
     }
@@ -275,11 +367,35 @@
     }
 }
 
+// The members of a gang end together: with success, or because one of them has ended.
+void world::state::end_gang(const run_key& key, run_outcome how) {
+    const auto& [task, number] = key;
+    if (!accepted.at(task.job).spec.steps.at(task.step).is_gang) {
+        return;
+    }
+    for (const auto& instance : instances) {
+        for (auto& [other, run] : instance->executor.running) {
+            const auto& member = other.first;
+            if (other.second == number && member.job == task.job && member.step == task.step &&
+                member.occurrence == task.occurrence && run.ends_at > time.now()) {
+                run.ends_at = time.now();
+                run.how = how == run_outcome::succeeded ? run_outcome::succeeded
+                                                        : run_outcome::gang_member_ended;
+            }
+        }
+    }
+}
+
 void world::state::record_finish(sim_executor& executor, const run_key& key, run_outcome how) {
+    finished_task end;
+    if (const auto found = executor.running.find(key); found != executor.running.end()) {
+        const auto work =
+            std::chrono::duration_cast<milliseconds>(time.now() - found->second.began_at);
+        end.checkpoint = make_checkpoint(key.first, key.second, work);
+    }
     executor.running.erase(key);
     auto& highest_run = executor.highest_run[key.first];
     highest_run = std::max(highest_run, key.second);
-    finished_task end;
     end.number = completion_number(executor.next_end++);
     end.task = key.first;
     end.run = key.second;
@@ -289,6 +405,7 @@
     if (how == run_outcome::succeeded) {
         succeeded_tasks.insert(key.first);
     }
+    end_gang(key, how);
 }
 
 void world::state::finish_due_runs(sim_executor& executor, std::size_t) {
@@ -355,7 +472,7 @@
         is_late ? milliseconds(2'000 + static_cast<std::int64_t>(owner->random.below(10'000)))
                 : call_delay;
     const instant lease = core->lease_expires_at();
-    owner->at(delay, [this, order, epoch, lease, is_unanswered] {
+    owner->at(delay, [this, order, epoch, lease, is_late, is_unanswered] {
         owner->finish_due_runs(executor, index);
         auto answer = start_answer::started;
         const run_key key{order.task, order.run};
@@ -370,11 +487,12 @@
                 executor.lease_until <= owner->time.now()) {
                 answer = start_answer::refused;
             } else {
-                owner->check_start(index, order);
+                owner->check_start(index, order, is_late);
                 const auto& spec =
                     owner->accepted.at(order.task.job).spec.steps.at(order.task.step);
                 sim_run run;
                 run.demand = spec.demand;
+                run.is_late = is_late;
                 run.began_at = owner->time.now();
                 run.ends_at = spec.is_long_running || hangs
                                   ? owner->time.now() + std::chrono::hours(1)
@@ -455,6 +573,7 @@
     }
     if (executor.is_up) {
         finish_due_runs(executor, index);
+        check_cancelled_runs(index);
         if (instance.core->executor_reported(executor.info)) {
             to_coordinator(instance,
                            [n = instance.name, info = executor.info](coordinator& target) {
@@ -474,7 +593,9 @@
                 const int percent =
                     instance.hangs ? 0
                                    : static_cast<int>(100 * passed / (run.ends_at - run.began_at));
-                view.running.push_back({key.first, key.second, "", percent, 0});
+                const auto checkpoint = make_checkpoint(
+                    key.first, key.second, std::chrono::duration_cast<milliseconds>(passed));
+                view.running.push_back({key.first, key.second, checkpoint, percent, 0});
             }
             to_coordinator(instance, [n = instance.name, view](coordinator& target) {
                 target.progress_reported(n, view.running, {});
@@ -504,15 +625,16 @@
     }
     epoch = epoch.next();
     ++generation;
+    calm_since = time.now();
     is_writing = false;
     jobs = std::make_unique<coordinator>(coordinator::options{}, time, *this);
     jobs->set_queues({{queue_id("queue"), default_rules()}});
     jobs->set_evacuated(evacuated);
     for (const auto& [id, job] : accepted) {
         jobs->add_job(job, milliseconds(0));
-        if (cancelled.count(id) != 0) {
-            jobs->cancel_job(id);
-        }
+    }
+    for (const auto& [id, cancelled_at] : cancelled) {
+        jobs->cancel_job(id);
     }
     for (const auto& [id, row] : progress) {
         if (!jobs->restore(id, row, time.now() + timing.expiry_delay())) {
@@ -565,11 +687,15 @@
             instance.is_cut = true;
             unlink(instance);
             at(milliseconds(100 + static_cast<std::int64_t>(random.below(9'000))),
-               [&instance] { instance.is_cut = false; });
+               [this, &instance] {
+                   instance.is_cut = false;
+                   instance.calm_since = time.now();
+               });
         }
         if (random.chance(faults.agent_restart * per_second)) {
             unlink(instance);
             instance.core = std::make_unique<agent>(time, instance);
+            instance.calm_since = time.now();
         }
     }
     if (random.chance(faults.takeover * per_second)) {
@@ -620,7 +746,7 @@
 }
 
 void world::cancel(const job_id& job) {
-    state_->cancelled.insert(job);
+    state_->cancelled.try_emplace(job, state_->time.now());
     state_->jobs->cancel_job(job);
 }
 
@@ -638,7 +764,10 @@
     auto& target = *state_->instances.at(instance);
     target.is_cut = true;
     state_->unlink(target);
-    state_->at(time, [&target] { target.is_cut = false; });
+    state_->at(time, [this, &target] {
+        target.is_cut = false;
+        target.calm_since = now();
+    });
 }
 
 void world::drain(std::size_t instance) {
--- a/libs/dispatch/tests/world.hpp
+++ b/libs/dispatch/tests/world.hpp
@@ -44,6 +44,7 @@
 
     void set_faults(const world_faults& faults);
     void submit(const submitted_job& job);
+    // The job may be submitted later: its submission may still be on its way.
     void cancel(const job_id& job);
     void run_for(milliseconds time);
     // Replaces the coordinator by a new one that has only the table and the agents' reports.
@@ -80,6 +81,8 @@
     std::int64_t millicores_each = 1'000;
     milliseconds run_time{500};
     bool is_long_running = false;
+    bool is_gang = false;
+    bool writes_checkpoints = false;
 };
 [[nodiscard]] submitted_job make_job(const std::string& id, const job_shape& shape);
 [[nodiscard]] queue_rules default_rules();
