dispatch: a test that a task which crashes its executors is given up (fails)

Callers see: one task crashes executor after executor; all work beside it is lost each time. Ruled out: a count that is lost on a change of the owner, and quarantine of instances: neither exists in the code for crashes. The logs tell the hypotheses apart: 69 start_ordered lines for one task and no failure.

--- a/libs/dispatch/tests/world.cpp
+++ b/libs/dispatch/tests/world.cpp
@@ -13,6 +13,10 @@
 constexpr milliseconds plan_interval{20};
 constexpr milliseconds stop_time{100};
 constexpr milliseconds order_limit{400};
+constexpr milliseconds time_to_crash{10};
+// Crashes under a task, and the starts after them that are one too many.
+constexpr std::uint32_t crashes_before_limit = 3;
+constexpr std::uint32_t excess_starts = 3;
 
 using run_key = std::pair<task_key, run_number>;
 
@@ -231,6 +235,9 @@
     std::set<task_key> acknowledged_done;
     std::map<task_key, std::uint32_t> acknowledged_failures;
     std::size_t start_count = 0;
+    std::set<task_key> crashing;
+    std::map<task_key, std::uint32_t> crash_counts;
+    std::map<task_key, std::uint32_t> starts_after_crashes;
     std::vector<std::string> violations;
 };
 
@@ -266,6 +273,11 @@
     if (!spec.is_long_running && acknowledged_failures[order.task] >= job.rules.max_attempts) {
         violation("started after its last attempt: " + what);
     }
+    if (crash_counts[order.task] >= crashes_before_limit &&
+        ++starts_after_crashes[order.task] >= excess_starts) {
+        violation("started again after it had crashed " + std::to_string(crash_counts[order.task]) +
+                  " executors: " + what);
+    }
     for (const auto earlier : spec.depends_on) {
         for (std::uint32_t i = 0; i < job.spec.steps[earlier].task_count; ++i) {
             if (succeeded_tasks.count({order.task.job, order.task.occurrence, earlier, i}) == 0) {
@@ -330,6 +342,9 @@
 void world::state::restart_executor(std::size_t index) {
     auto& executor = instances[index]->executor;
     executor.is_up = false;
+    for (const auto& [key, run] : executor.running) {
+        crash_counts[key.first] += crashing.count(key.first) != 0 ? 1U : 0U;
+    }
     executor.running.clear();
     at(milliseconds(200 + static_cast<std::int64_t>(random.below(2'000))), [this, index] {
         auto& target = instances[index]->executor;
@@ -382,6 +397,13 @@
                 run.how = owner->random.chance(owner->faults.failed_run) ? run_outcome::failed
                                                                          : run_outcome::succeeded;
                 executor.running[key] = run;
+                if (owner->crashing.count(order.task) != 0) {
+                    owner->at(time_to_crash, [this, key] {
+                        if (executor.is_up && executor.running.count(key) != 0) {
+                            owner->restart_executor(index);
+                        }
+                    });
+                }
             }
         }
         if (!is_unanswered) {
@@ -634,6 +656,15 @@
     state_->restart_executor(instance);
 }
 
+void world::make_crashing(const task_key& task) {
+    state_->crashing.insert(task);
+}
+
+std::uint32_t world::crashes_by(const task_key& task) const {
+    const auto found = state_->crash_counts.find(task);
+    return found == state_->crash_counts.end() ? 0 : found->second;
+}
+
 void world::cut_link(std::size_t instance, milliseconds time) {
     auto& target = *state_->instances.at(instance);
     target.is_cut = true;
--- a/libs/dispatch/tests/world.hpp
+++ b/libs/dispatch/tests/world.hpp
@@ -49,6 +49,9 @@
     // Replaces the coordinator by a new one that has only the table and the agents' reports.
     void take_over();
     void crash_executor(std::size_t instance);
+    // The task crashes each executor that starts it, 10 ms after the start. Three more starts after
+    // three such crashes are a violation.
+    void make_crashing(const task_key& task);
     void cut_link(std::size_t instance, milliseconds time);
     void drain(std::size_t instance);
     // Runs on the instance make no progress until they are stopped.
@@ -62,6 +65,8 @@
     // Number of runs on the instance now.
     [[nodiscard]] std::size_t running_on(std::size_t instance) const;
     [[nodiscard]] std::size_t starts() const;
+    // Number of executors that the task has crashed.
+    [[nodiscard]] std::uint32_t crashes_by(const task_key& task) const;
     // Descriptions of violated invariants.
     [[nodiscard]] const std::vector<std::string>& violations() const;
     [[nodiscard]] coordinator& jobs();
