dispatch: a task that crashes its executors is given up; its crashes are counted and durable

Callers saw: one task took down executor after executor, up to 69 times, and all work beside it with each. Cause: the end of an executor requeued its tasks without a trace; max_attempts counts failures that a run reports, and a run that ends with its executor reports none. Change: a crash counts against the runs that began less than 0.3 s before the executor's last answer; agents report the age of each run with the end of an executor. A run that had outlived that clears its task. The count and the incarnation of the executor are in the progress row, so that a new owner counts a crash that its predecessor did not see; so do an expired lease and an inventory of a later incarnation. A task with crashes starts apart from other suspects, with two on an instance where nothing else starts meanwhile, so that the next crash has one suspect. Its job fails at two confirmed or three crashes if no other job can be to blame, at four in any case. Log lines: executor_crashed, executor_expired, task_suspected, task_given_up. Works because: only a proven task fails its job, the proof outlives owner and agent, and the start that proves it costs the work of one instance only.

--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -175,6 +175,15 @@
     std::string checkpoint;
 };
 
+// How long an executor had a run before it terminated.
+struct run_age {
+    task_key task;
+    run_number run;
+    // Time from the answer to the start, or from the first list with the run, to the executor's
+    // last answer to any call; 0 for a start that was not answered.
+    milliseconds age{0};
+};
+
 // What an agent reports to the coordinator that has claimed it.
 struct inventory {
     std::optional<executor_info> executor;
@@ -354,6 +363,25 @@
     std::string ticket;
 };
 
+// The end of an executor that had not announced it, or has been unreachable for so long that its
+// runs have ended.
+struct executor_crash {
+    // A run that the executor had begun so shortly before that it may have caused the crash.
+    struct suspect {
+        task_key task;
+        run_number run;
+        // Crashes under the task so far.
+        std::uint32_t crashes = 0;
+        // The executor is known to have begun the run.
+        bool has_begun = false;
+        // The crashes are proof against the task: its job has failed.
+        bool has_failed = false;
+    };
+    instance_name instance;
+    bool is_unreachable = false;
+    std::vector<suspect> suspects;
+};
+
 // Orders that leave the coordinator.
 class coordinator_orders {
 public:
@@ -372,6 +400,37 @@
     // Sends an agent the properties of a run that an earlier owner started.
     virtual void send_traits(const instance_name& instance, const task_key& task,
                              const task_traits& traits) = 0;
+    // For the log only.
+    virtual void report_crash(const executor_crash& /*crash*/) {}
+};
+
+// How the coordinator recognises a task that crashes the executors that start it. Such a task
+// reports no failure, so that `max_attempts` does not end it.
+struct crash_rules {
+    // A crash counts against the runs that began less than this time before the executor's last
+    // answer, since a task that crashes its executor does so soon after its start. The other tasks
+    // are cleared of earlier crashes.
+    milliseconds suspicion_window{300};
+    // The same for an executor whose agent could not tell, before the instance's last observation:
+    // longer by the age of an observation, a sync of 0.5 s and a heartbeat of 0.3 s.
+    milliseconds unobserved_window{1'100};
+    // Crashes of a task's executors after which its job fails, if no run of another job can have
+    // caused the latest crash. The first value applies if each of these runs is known to have
+    // begun.
+    std::uint32_t max_confirmed_crashes = 2;
+    std::uint32_t max_sole_crashes = 3;
+    // Crashes after which the job fails in any case.
+    std::uint32_t max_crashes = 4;
+    // A task with this many crashes is started apart from others: on an instance where nothing else
+    // has started within the suspicion window and nothing else does until the run has outlived it.
+    std::uint32_t min_crashes_to_isolate = 2;
+    // Longest wait for such an instance.
+    milliseconds max_wait_for_isolation{2'000};
+    // Time after the start of such a run at which no news of a crash is proof that it has outlived
+    // the suspicion window: the agent notices a crash within 0.2 s.
+    milliseconds isolation_time{600};
+    // Share of the instances that may be kept for such tasks at a time; at least one.
+    double max_isolated_share = 0.25;
 };
 
 // A row of the progress table.
@@ -415,6 +474,7 @@
         // owner's row.
         std::size_t max_rows_per_write = 90;
         filler_rules fillers;
+        crash_rules crashes;
     };
 
     coordinator(options settings, const clock& time, coordinator_orders& orders);
@@ -450,8 +510,10 @@
     // The link to the agent is closed. Its runs count as running until `expires_at`.
     void instance_disconnected(const instance_name& instance, instant expires_at);
     void executor_changed(const instance_name& instance, const executor_info& info);
-    // The executor has crashed or left; none of its runs is alive.
-    void executor_terminated(const instance_name& instance, executor_incarnation incarnation);
+    // The executor has crashed or left; none of its runs is alive. `ages` holds the runs that the
+    // agent knew of; empty if the agent does not report them.
+    void executor_terminated(const instance_name& instance, executor_incarnation incarnation,
+                             const std::vector<run_age>& ages = {});
     void start_reported(const instance_name& instance, const task_key& task, run_number run,
                         start_outcome outcome);
     // A stop was confirmed for a run that the executor does not have, or that has finished.
@@ -531,7 +593,8 @@
     virtual void report_stop(const task_key& task, run_number run) = 0;
     virtual void report_finished(executor_incarnation incarnation,
                                  const std::vector<finished_task>& completions) = 0;
-    virtual void report_executor_terminated(executor_incarnation incarnation) = 0;
+    virtual void report_executor_terminated(executor_incarnation incarnation,
+                                            const std::vector<run_age>& ages) = 0;
 };
 
 enum class start_answer : std::uint8_t {
@@ -625,6 +688,8 @@
     void withdraw_start(const run_key& key);
     void resolve_starts(const executor_view& view);
     void resolve_stops(const executor_view& view);
+    void record_begin(const run_key& key);
+    [[nodiscard]] std::vector<run_age> run_ages() const;
 
     const clock& time_;
     agent_orders& orders_;
@@ -638,6 +703,10 @@
     std::map<run_key, order_state> pending_starts_;
     std::map<run_key, order_state> pending_stops_;
     std::map<run_key, running_task> running_;
+    // When the executor answered the start of each run, or first listed it, and when it last
+    // answered any call.
+    std::map<run_key, instant> begun_at_;
+    instant answered_at_;
     std::map<std::uint64_t, finished_task> finished_;
     std::map<task_key, task_traits> traits_;
     std::map<run_key, int> sent_pace_;
--- a/libs/dispatch/src/agent.cpp
+++ b/libs/dispatch/src/agent.cpp
@@ -128,6 +128,7 @@
     finished_.clear();
     traits_.clear();
     sent_pace_.clear();
+    begun_at_.clear();
     pacer_ = {};
     sample_ = {};
     acknowledged_completion_ = completion_number(0);
@@ -164,9 +165,12 @@
     const bool is_first = !has_view_;
     has_view_ = true;
     ++view_count_;
+    answered_at_ = time_.now();
     running_.clear();
     for (const auto& run : view.running) {
-        running_.emplace(run_key(run.task, run.run), run);
+        const run_key key(run.task, run.run);
+        running_.emplace(key, run);
+        begun_at_.try_emplace(key, answered_at_);
     }
     std::vector<finished_task> new_completions;
     for (const auto& completion : view.finished) {
@@ -178,6 +182,7 @@
             reported_completion_ = completion.number;
             traits_.erase(completion.task);
             sent_pace_.erase({completion.task, completion.run});
+            begun_at_.erase({completion.task, completion.run});
         }
     }
     resolve_starts(view);
@@ -230,9 +235,32 @@
         return;
     }
     const auto incarnation = executor_->incarnation;
+    const auto ages = run_ages();
     reset_executor_state();
     executor_.reset();
-    orders_.report_executor_terminated(incarnation);
+    orders_.report_executor_terminated(incarnation, ages);
+}
+
+void agent::record_begin(const run_key& key) {
+    answered_at_ = time_.now();
+    begun_at_[key] = answered_at_;
+}
+
+std::vector<run_age> agent::run_ages() const {
+    std::vector<run_age> ages;
+    for (const auto& [key, state] : pending_starts_) {
+        ages.push_back({key.first, key.second, milliseconds(0)});
+    }
+    for (const auto& [key, state] : pending_stops_) {
+        if (state.is_withdrawal) {
+            ages.push_back({key.first, key.second, milliseconds(0)});
+        }
+    }
+    for (const auto& [key, begun_at] : begun_at_) {
+        ages.push_back({key.first, key.second,
+                        std::chrono::duration_cast<milliseconds>(answered_at_ - begun_at)});
+    }
+    return ages;
 }
 
 void agent::start_answered(const task_key& task, run_number run, start_answer answer) {
@@ -244,6 +272,7 @@
     auto& state = found->second;
     if (answer == start_answer::started) {
         pending_starts_.erase(found);
+        record_begin(key);
         orders_.report_start(task, run, start_outcome::started);
         return;
     }
--- a/libs/dispatch/src/coordinator.cpp
+++ b/libs/dispatch/src/coordinator.cpp
@@ -128,11 +128,20 @@
         task->run = entry.run;
         task->failures = entry.failures;
         task->checkpoint = entry.checkpoint;
+        task->crashes = entry.crashes;
+        if (task->crashes.suspected > 0) {
+            task->phase_since = state_->time.now();  // begins to wait for an instance of its own
+        }
         if (!entry.instance.empty()) {
             const auto instance = state_->instance_index(entry.instance);
             state_->instances[instance].expires_at = expires_at;
             task->phase = task_phase::starting;
             task->phase_since = state_->time.now();
+            task->started_at = task->phase_since;
+            if (const auto executor = record->executors.find(entry.instance);
+                executor != record->executors.end()) {
+                task->incarnation = executor->second;
+            }
             state_->assign(key, *task, instance);
         }
     }
@@ -181,9 +190,16 @@
     const bool is_other_life = instance.executor && found.executor &&
                                instance.executor->incarnation != found.executor->incarnation;
     if (is_other_life) {
-        state_->clear_instance(index);
+        state_->remove_executor(index);
+    } else if (!instance.executor && found.executor) {
+        state_->remove_tasks_of_earlier_executors(index, found.executor->incarnation);
+    }
+    if (!instance.is_linked) {
+        instance.is_linked = true;
+        instance.linked_at = state_->time.now();
+        // An earlier owner or link may have sent starts until now.
+        instance.last_start_at = instance.linked_at;
     }
-    instance.is_linked = true;
     instance.observed_at = state_->time.now();
     instance.executor = found.executor;
     instance.processed_completion = completion_number(0);
@@ -192,6 +208,7 @@
         // The agent has no view of its executor yet; the state of its runs stays unknown.
         return;
     }
+    instance.listed_at = state_->time.now();
     runs_finished(name, found.executor->incarnation, found.finished);
     state_->reconcile(index, found);
 }
@@ -218,7 +235,7 @@
     }
     if (!instance.executor || instance.executor->incarnation != info.incarnation) {
         // A new incarnation has no runs, and an instance has only one executor.
-        state_->clear_instance(index);
+        state_->remove_executor(index);
         instance.processed_completion = completion_number(0);
         instance.acknowledged_completion = completion_number(0);
         instance.health = {};
@@ -226,15 +243,15 @@
     instance.executor = info;
 }
 
-void coordinator::executor_terminated(const instance_name& name, executor_incarnation incarnation) {
+void coordinator::executor_terminated(const instance_name& name, executor_incarnation incarnation,
+                                      const std::vector<run_age>& ages) {
     const auto index = state_->find_instance(name);
     if (!index) {
         return;
     }
     auto& instance = state_->instances[*index];
     if (instance.executor && instance.executor->incarnation == incarnation) {
-        state_->clear_instance(*index);
-        instance.executor.reset();
+        state_->remove_executor(*index, ages);
     }
 }
 
@@ -246,6 +263,7 @@
         return;
     }
     if (outcome == start_outcome::started) {
+        task->has_begun = true;
         if (task->phase == task_phase::starting) {
             task->phase = task_phase::running;
             task->phase_since = state_->time.now();
@@ -309,6 +327,7 @@
         if (task == nullptr || task->instance != index || task->run != run.run) {
             continue;
         }
+        task->has_begun = true;
         if (!run.checkpoint.empty()) {
             task->checkpoint = run.checkpoint;
         }
@@ -394,6 +413,8 @@
             }
             task->phase = task_phase::starting;
             task->phase_since = state_->time.now();
+            task->started_at = task->phase_since;
+            instance.last_start_at = task->phase_since;
             state_->mark_started(*state_->find_job(id));
             state_->orders.start(instance.name, start.order);
         }
--- a/libs/dispatch/src/coordinator_state.hpp
+++ b/libs/dispatch/src/coordinator_state.hpp
@@ -4,6 +4,7 @@
 
 #include <array>
 
+#include "crashes.hpp"
 #include "placement.hpp"
 #include "tanagerpaddle/dispatch.hpp"
 
@@ -33,6 +34,12 @@
     int percent = 0;
     // Instance on which the last run failed; others are preferred.
     std::optional<std::size_t> last_failed_instance;
+    // The executor of the current run, when the start was sent or restored, and whether the run is
+    // known to have begun.
+    executor_incarnation incarnation;
+    instant started_at;
+    bool has_begun = false;
+    crash_history crashes;
 
     [[nodiscard]] bool occupies_instance() const noexcept {
         return phase != task_phase::waiting && phase != task_phase::succeeded;
@@ -88,10 +95,13 @@
         std::uint32_t failures = 0;
         instance_name instance;
         std::string checkpoint;
+        crash_history crashes;
     };
     job_phase phase = job_phase::pending;
     std::vector<history> histories;
     std::vector<std::array<std::uint32_t, 3>> succeeded;
+    // The executors that the instances in `histories` had.
+    std::map<instance_name, executor_incarnation> executors;
 };
 
 [[nodiscard]] task_traits traits_of(const step_spec& spec);
@@ -116,6 +126,14 @@
         std::vector<std::pair<std::size_t, completion_number>> completions;
     };
 
+    // Runs that may have caused a crash.
+    struct crash_suspects {
+        std::vector<executor_crash::suspect> tasks;
+        // All runs that may have caused it belong to one job.
+        bool are_of_one_job = false;
+        bool is_unreachable = false;
+    };
+
     // --- lookup (coordinator.cpp)
     std::size_t instance_index(const instance_name& name);
     [[nodiscard]] std::optional<std::size_t> find_instance(const instance_name& name) const;
@@ -142,6 +160,22 @@
     void finish_job(job_state& job, job_phase phase);
     void reconcile(std::size_t instance, const inventory& found);
 
+    // --- crashes (crashes.cpp)
+    void remove_executor(std::size_t instance, const std::vector<run_age>& ages = {});
+    void remove_unreachable_executor(std::size_t instance);
+    void remove_tasks_of_earlier_executors(std::size_t instance, executor_incarnation found);
+    crash_suspects collect_suspects(std::size_t instance, const std::vector<task_key>& keys,
+                                    const std::vector<run_age>& ages);
+    // True if the executor of the instance had the task so shortly that it may have crashed it.
+    [[nodiscard]] bool may_have_crashed(const task_key& key, const task_state& task,
+                                        const std::vector<run_age>& ages) const;
+    void record_crash(std::size_t instance, crash_suspects suspects);
+    [[nodiscard]] bool needs_isolation(const step_spec& spec, const task_state& task) const;
+    void release_isolated_instances();
+    std::optional<std::size_t> choose_isolated_instance(const ready_step& step, const task_key& key,
+                                                        placement_context context);
+    [[nodiscard]] bool is_quiet(const instance_state& instance) const;
+
     // --- placement (planning.cpp)
     void release_due_occurrences();
     void expire_instances();
--- /dev/null
+++ b/libs/dispatch/src/crashes.cpp
@@ -0,0 +1,181 @@
+// Crashes of executors: which tasks may have caused one, and starts apart from other tasks.
+
+#include "crashes.hpp"
+
+#include <algorithm>
+
+#include "coordinator_state.hpp"
+
+namespace tanagerpaddle::dispatch {
+
+bool coordinator::state::may_have_crashed(const task_key& key, const task_state& task,
+                                          const std::vector<run_age>& ages) const {
+    if (!task.occupies_instance() || task.phase == task_phase::placed) {
+        return false;
+    }
+    const auto known = std::find_if(ages.begin(), ages.end(), [&](const run_age& each) {
+        return each.task == key && each.run == task.run;
+    });
+    if (known != ages.end()) {
+        return known->age < config.crashes.suspicion_window;
+    }
+    const auto& instance = instances[*task.instance];
+    if (task.has_begun) {
+        return instance.listed_at - task.started_at < config.crashes.unobserved_window;
+    }
+    // An agent that has lost the run to a restart may have sent the start.
+    return ages.empty() || task.started_at < instance.linked_at;
+}
+
+// Requeues the tasks of an executor that no longer exists. One that was draining has left as it
+// announced; any other has crashed.
+void coordinator::state::remove_executor(std::size_t index, const std::vector<run_age>& ages) {
+    auto& instance = instances[index];
+    const std::vector<task_key> keys(instance.tasks.begin(), instance.tasks.end());
+    const bool has_crashed =
+        instance.executor ? !instance.executor->is_draining : !instance.tasks.empty();
+    auto suspects = has_crashed ? collect_suspects(index, keys, ages) : crash_suspects{};
+    clear_instance(index);
+    instance.executor.reset();
+    if (has_crashed) {
+        record_crash(index, std::move(suspects));
+    }
+}
+
+// Requeues the tasks of an executor whose lease has expired. It may have crashed before, which
+// nobody has seen: no run counts as having begun.
+void coordinator::state::remove_unreachable_executor(std::size_t index) {
+    auto& instance = instances[index];
+    const std::vector<task_key> keys(instance.tasks.begin(), instance.tasks.end());
+    auto suspects = collect_suspects(index, keys, {});
+    suspects.is_unreachable = true;
+    clear_instance(index);
+    instance.executor.reset();
+    for (auto& suspect : suspects.tasks) {
+        suspect.has_begun = false;
+    }
+    record_crash(index, std::move(suspects));
+}
+
+// Requeues the tasks that an earlier owner started on an executor before the one that is found now.
+void coordinator::state::remove_tasks_of_earlier_executors(std::size_t index,
+                                                           executor_incarnation found) {
+    std::vector<task_key> keys;
+    for (const auto& key : instances[index].tasks) {
+        const auto incarnation = find_task(key)->incarnation;
+        // Rows of earlier versions do not name the executor.
+        if (incarnation != executor_incarnation(0) && incarnation < found) {
+            keys.push_back(key);
+        }
+    }
+    if (keys.empty()) {
+        return;
+    }
+    auto suspects = collect_suspects(index, keys, {});
+    for (const auto& key : keys) {
+        requeue(key, *find_task(key));
+    }
+    record_crash(index, std::move(suspects));
+}
+
+coordinator::state::crash_suspects coordinator::state::collect_suspects(
+    std::size_t index, const std::vector<task_key>& keys, const std::vector<run_age>& ages) {
+    crash_suspects found;
+    std::set<job_id> job_ids;
+    for (const auto& key : keys) {
+        auto& task = *find_task(key);
+        if (may_have_crashed(key, task, ages)) {
+            found.tasks.push_back({key, task.run, 0, task.has_begun, false});
+            job_ids.insert(key.job);
+        } else if (task.has_begun) {
+            task.crashes = {};  // it did not crash this executor while it could
+        }
+    }
+    // The runs that are being stopped may have caused the crash as well.
+    found.are_of_one_job = job_ids.size() == 1 && instances[index].orphaned_runs.empty();
+    return found;
+}
+
+void coordinator::state::record_crash(std::size_t index, crash_suspects suspects) {
+    for (auto& suspect : suspects.tasks) {
+        auto& job = *find_job(suspect.task.job);
+        auto& task = *find_task(suspect.task);
+        task.crashes.add(suspect.has_begun);
+        suspect.crashes = task.crashes.suspected;
+        if (!job.is_terminal() &&
+            is_proven(task.crashes, suspects.are_of_one_job, config.crashes)) {
+            suspect.has_failed = true;
+            finish_job(job, job_phase::failed);
+        }
+    }
+    orders.report_crash(
+        {instances[index].name, suspects.is_unreachable, std::move(suspects.tasks)});
+}
+
+// ---------------------------------------------------------------------------------------------
+// Starts apart from other tasks
+
+bool coordinator::state::needs_isolation(const step_spec& spec, const task_state& task) const {
+    return !spec.is_gang && task.phase == task_phase::waiting &&
+           task.crashes.suspected >= config.crashes.min_crashes_to_isolate &&
+           time.now() - task.phase_since < config.crashes.max_wait_for_isolation;
+}
+
+// Releases the instances whose isolated task has outlived the suspicion window, has ended, or has
+// waited too long.
+void coordinator::state::release_isolated_instances() {
+    for (std::size_t i = 0; i < instances.size(); ++i) {
+        auto& instance = instances[i];
+        if (!instance.isolated_task) {
+            continue;
+        }
+        const auto& key = *instance.isolated_task;
+        const auto* task = find_task(key);
+        const bool is_on_trial =
+            task->instance == i &&
+            (!task->has_begun || time.now() - task->started_at < config.crashes.isolation_time);
+        const bool is_awaited =
+            instance.is_linked && instance.executor && !instance.executor->is_draining &&
+            !find_job(key.job)->is_terminal() && needs_isolation(spec_of(key), *task);
+        if (!is_on_trial && !is_awaited) {
+            instance.isolated_task.reset();
+        }
+    }
+}
+
+// The instance on which a task may start apart from others now. Keeps one free of other starts
+// until then.
+std::optional<std::size_t> coordinator::state::choose_isolated_instance(const ready_step& step,
+                                                                        const task_key& key,
+                                                                        placement_context context) {
+    const auto isolated_count = static_cast<std::size_t>(
+        std::count_if(instances.begin(), instances.end(),
+                      [](const instance_state& each) { return each.isolated_task.has_value(); }));
+    const auto kept =
+        std::find_if(instances.begin(), instances.end(),
+                     [&](const instance_state& each) { return each.isolated_task == key; });
+    if (kept == instances.end()) {
+        const auto limit = std::max<std::size_t>(
+            1, static_cast<std::size_t>(config.crashes.max_isolated_share *
+                                        static_cast<double>(instances.size())));
+        if (isolated_count >= limit) {
+            return std::nullopt;
+        }
+        context.prefers_quiet_instance = true;
+        const auto chosen = choose_instance(instances, step, context);
+        if (chosen) {
+            instances[*chosen].isolated_task = key;
+        }
+        return chosen && is_quiet(instances[*chosen]) ? chosen : std::nullopt;
+    }
+    context.isolated_task = key;
+    const bool is_usable = is_quiet(*kept) && can_start(*kept, step, context);
+    return is_usable ? std::optional(static_cast<std::size_t>(kept - instances.begin()))
+                     : std::nullopt;
+}
+
+bool coordinator::state::is_quiet(const instance_state& instance) const {
+    return time.now() - instance.last_start_at >= config.crashes.suspicion_window;
+}
+
+}  // namespace tanagerpaddle::dispatch
--- a/libs/dispatch/src/placement.cpp
+++ b/libs/dispatch/src/placement.cpp
@@ -136,12 +136,35 @@
     return instance.serving_tasks_by_image.contains(image) ? 0 : 2;
 }
 
+// Weights of the penalties; a higher one goes before the sum of the lower ones.
+constexpr int near_suspect_penalty = 1;
+constexpr int off_rack_penalty = 2;
+constexpr int avoided_penalty = 4;
+constexpr int second_suspect_penalty = 8;
+
+// Separates tasks that may have crashed an executor from each other, and from other tasks where
+// that costs nothing, so that the next crash has one suspect.
+int crash_penalty(const instance_state& instance, const placement_context& context) {
+    const auto is_recent = [&](instant when) {
+        return context.now - when < context.crashes.suspicion_window;
+    };
+    if (is_recent(instance.last_suspect_at)) {
+        return context.is_suspect ? second_suspect_penalty : near_suspect_penalty;
+    }
+    return context.is_suspect && is_recent(instance.last_start_at) ? near_suspect_penalty : 0;
+}
+
 score score_of(const instance_state& instance, const ready_step& step,
                const placement_context& context, std::size_t index) {
     const auto& spec = *step.spec;
     const bool is_off_rack =
         !spec.preferred_rack.empty() && !has_label(*instance.executor, spec.preferred_rack.value());
-    const int penalty = (context.avoided_instance == index ? 2 : 0) + (is_off_rack ? 1 : 0);
+    const int penalty = crash_penalty(instance, context) +
+                        (context.avoided_instance == index ? avoided_penalty : 0) +
+                        (is_off_rack ? off_rack_penalty : 0);
+    if (context.prefers_quiet_instance) {
+        return {0, 0, instance.last_start_at.time_since_epoch().count()};
+    }
     const std::int64_t remaining_millicores =
         instance.free().processors.value() - spec.demand.processors.value();
     if (spec.is_filler) {
@@ -225,6 +248,27 @@
            context.evacuated->count(instance.executor->domain) == 0;
 }
 
+bool can_start(instance_state& instance, const ready_step& step, const placement_context& context) {
+    if (!accepts_starts(instance, context) || !is_eligible(*instance.executor, step)) {
+        return false;
+    }
+    if (instance.isolated_task && instance.isolated_task != context.isolated_task) {
+        return false;
+    }
+    const bool is_kept_from_others = instance.health.is_quarantined(context.now) ||
+                                     (instance.is_reserved && step.rules.priority > 0);
+    if (is_kept_from_others && !context.checks_capacity_only) {
+        return false;
+    }
+    const bool has_permit =
+        context.permits == nullptr || context.permits->count(instance.executor->id) > 0;
+    const bool is_on_rack =
+        context.rack.empty() || has_label(*instance.executor, context.rack.value());
+    const bool is_spread = step.spec->max_per_executor == 0 ||
+                           count_step_tasks(instance, step.key) < step.spec->max_per_executor;
+    return has_permit && is_on_rack && is_spread && fits(instance, step, context);
+}
+
 std::optional<std::size_t> choose_instance(std::vector<instance_state>& instances,
                                            const ready_step& step,
                                            const placement_context& context) {
@@ -232,14 +276,7 @@
     score best_score;
     for (std::size_t i = 0; i < instances.size(); ++i) {
         auto& instance = instances[i];
-        if (!accepts_starts(instance, context) || !is_eligible(*instance.executor, step) ||
-            (!context.checks_capacity_only && instance.health.is_quarantined(context.now)) ||
-            (!context.checks_capacity_only && instance.is_reserved && step.rules.priority > 0) ||
-            (context.permits != nullptr && context.permits->count(instance.executor->id) == 0) ||
-            (!context.rack.empty() && !has_label(*instance.executor, context.rack.value())) ||
-            (step.spec->max_per_executor > 0 &&
-             count_step_tasks(instance, step.key) >= step.spec->max_per_executor) ||
-            !fits(instance, step, context)) {
+        if (!can_start(instance, step, context)) {
             continue;
         }
         const score found = score_of(instance, step, context, i);
--- a/libs/dispatch/src/placement.hpp
+++ b/libs/dispatch/src/placement.hpp
@@ -32,6 +32,7 @@
     std::optional<executor_info> executor;
     // The agent is connected and accepts orders of this coordinator.
     bool is_linked = false;
+    instant linked_at;
     // When no run of a disconnected instance can still be alive.
     instant expires_at;
     // Total demand of the tasks assigned to the instance, without the processors of fillers.
@@ -64,10 +65,18 @@
     completion_number acknowledged_completion;
     // When the progress of the executor's tasks was last known.
     instant observed_at;
+    // When an agent last reported the lists of the executor.
+    instant listed_at;
     // The latest measurements of the executor.
     interference_sample sample;
     // Capacity is reserved for a waiting task of priority 0.
     bool is_reserved = false;
+    // When a start was last placed here or sent, and a start of a task that may have crashed an
+    // executor.
+    instant last_start_at{};
+    instant last_suspect_at{};
+    // The only task that may start here; see crash_rules.
+    std::optional<task_key> isolated_task;
 
     [[nodiscard]] resources free() const {
         return executor ? executor->capacity - committed : resources{};
@@ -119,6 +128,13 @@
     std::optional<std::size_t> avoided_instance;
     const interference_model* interference = nullptr;
     filler_rules fillers;
+    crash_rules crashes;
+    // The task may have crashed an executor.
+    bool is_suspect = false;
+    // Prefers the instance whose last start is the longest ago to all others.
+    bool prefers_quiet_instance = false;
+    // The task to start, if an instance may be kept for it.
+    std::optional<task_key> isolated_task;
     // Rack in which the tasks of the step must run; empty if any rack will do.
     rack_id rack;
 };
@@ -127,6 +143,9 @@
 [[nodiscard]] std::optional<std::size_t> choose_instance(std::vector<instance_state>& instances,
                                                          const ready_step& step,
                                                          const placement_context& context);
+// True if one more task of the step may start on the instance now and has capacity there.
+[[nodiscard]] bool can_start(instance_state& instance, const ready_step& step,
+                             const placement_context& context);
 // Smallest slack, as a utilisation, of the serving tasks on the instance that fillers of `image`
 // interfere with, if `added` more millicores of that image ran there at full pace; negative if a
 // serving task would miss its target.
--- a/libs/dispatch/src/planning.cpp
+++ b/libs/dispatch/src/planning.cpp
@@ -88,6 +88,7 @@
         state_->inspected_at = state_->time.now();
         state_->stop_stalled_tasks();
     }
+    state_->release_isolated_instances();
     state_->place_ready_steps();
     if (is_inspection_due) {
         state_->move_throttled_fillers();
@@ -101,8 +102,7 @@
         auto& instance = instances[i];
         if (!instance.is_linked && now >= instance.expires_at &&
             (!instance.tasks.empty() || !instance.orphaned_runs.empty())) {
-            clear_instance(i);
-            instance.executor.reset();
+            remove_unreachable_executor(i);
         }
     }
 }
@@ -244,12 +244,21 @@
     }
     context.interference = &interference;
     context.fillers = config.fillers;
+    context.crashes = config.crashes;
     for (const auto index : step.waiting) {
         const auto& task = jobs.at(step.key.job)
                                .occurrences[step.key.occurrence]
                                .steps[step.key.step]
                                .tasks[index];
         context.avoided_instance = task.last_failed_instance;
+        context.is_suspect = task.crashes.suspected > 0;
+        if (needs_isolation(*step.spec, task)) {
+            const task_key key{step.key.job, step.key.occurrence, step.key.step, index};
+            if (const auto instance = choose_isolated_instance(step, key, context)) {
+                place_task(step, index, *instance);
+            }
+            continue;
+        }
         const bool is_waiting_too_long = step.spec->is_long_running && task.run > run_number(0) &&
                                          context.now - task.phase_since >= starvation_timeout;
         context.checks_capacity_only =
@@ -300,6 +309,7 @@
     context.evacuated = &evacuated_domains;
     context.interference = &interference;
     context.fillers = config.fillers;
+    context.crashes = config.crashes;
     if (step.rules.requires_permit) {
         context.permits = &permits_by_step[step.key].tickets;
     }
@@ -341,7 +351,12 @@
     task.run = task.run.next();
     task.phase_since = time.now();
     assign(key, task, instance);
-    const auto& target = instances[instance];
+    auto& target = instances[instance];
+    task.incarnation = target.executor->incarnation;
+    target.last_start_at = time.now();
+    if (task.crashes.suspected > 0) {
+        target.last_suspect_at = time.now();
+    }
     check_invariant(target.committed.fits_in(target.executor->capacity),
                     "placement overcommits " + target.name.value() + ": " +
                         to_string(target.committed) + " of " +
@@ -374,6 +389,9 @@
         }
     }
     instance.observed_at = now;
+    if (instance.executor) {
+        instance.listed_at = now;
+    }
 }
 
 // Stops batch tasks without progress, which occur on instances that otherwise seem healthy, and
@@ -411,6 +429,7 @@
     context.evacuated = &evacuated_domains;
     context.interference = &interference;
     context.fillers = config.fillers;
+    context.crashes = config.crashes;
     const auto max_moves = std::max(
         config.fillers.min_moves, static_cast<std::size_t>(config.fillers.moves_per_instance *
                                                            static_cast<double>(instances.size())));
--- a/libs/dispatch/src/records.cpp
+++ b/libs/dispatch/src/records.cpp
@@ -183,14 +183,17 @@
     }
 }
 
-// {"p": phase, "t": [[occurrence, step, index, run, failures, instance, checkpoint], ...],
+// {"p": phase, "t": [[occurrence, step, index, run, failures, instance, checkpoint, crashes,
+//  confirmed crashes], ...], "e": {instance: incarnation of its executor, ...},
 //  "d": [[occurrence, step, [index, ...]], ...]}: tasks that have run, and tasks that succeeded.
+//  The crashes are left out if there were none.
 std::string encode_progress(const job_state& job, const std::vector<instance_state>& instances) {
     json out{{"p", static_cast<int>(job.phase)}};
     if (job.is_terminal()) {
         return out.dump();
     }
     json histories = json::array();
+    json executors = json::object();
     json done = json::array();
     for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
         for (std::uint32_t s = 0; s < job.occurrences[k].steps.size(); ++s) {
@@ -203,8 +206,16 @@
                 } else if (task.run.value() > 0) {
                     const std::string instance =
                         task.instance ? instances[*task.instance].name.value() : "";
-                    histories.push_back(
-                        {k, s, i, task.run.value(), task.failures, instance, task.checkpoint});
+                    json history{
+                        k, s, i, task.run.value(), task.failures, instance, task.checkpoint};
+                    if (task.crashes.suspected > 0) {
+                        history.push_back(task.crashes.suspected);
+                        history.push_back(task.crashes.confirmed);
+                    }
+                    histories.push_back(std::move(history));
+                    if (task.instance && task.incarnation != executor_incarnation(0)) {
+                        executors[instance] = task.incarnation.value();
+                    }
                 }
             }
             if (!indices.empty()) {
@@ -213,6 +224,9 @@
         }
     }
     out["t"] = std::move(histories);
+    if (!executors.empty()) {
+        out["e"] = std::move(executors);
+    }
     out["d"] = std::move(done);
     return out.dump(-1, ' ', false, json::error_handler_t::replace);
 }
@@ -239,10 +253,22 @@
     try {
         const json in = json::parse(row);
         for (const auto& entry : in.value("t", json::array())) {
-            record.histories.push_back({entry.at(0), entry.at(1), entry.at(2),
-                                        run_number(entry.at(3).get<std::uint32_t>()), entry.at(4),
+            record.histories.push_back({entry.at(0),
+                                        entry.at(1),
+                                        entry.at(2),
+                                        run_number(entry.at(3).get<std::uint32_t>()),
+                                        entry.at(4),
                                         instance_name(entry.at(5).get<std::string>()),
-                                        entry.at(6)});
+                                        entry.at(6),
+                                        {}});
+            if (entry.size() > 8) {
+                record.histories.back().crashes = {entry.at(7), entry.at(8)};
+            }
+        }
+        const json executors = in.value("e", json::object());
+        for (const auto& [instance, incarnation] : executors.items()) {
+            record.executors[instance_name(instance)] =
+                executor_incarnation(incarnation.get<std::int64_t>());
         }
         for (const auto& entry : in.value("d", json::array())) {
             for (const auto& index : entry.at(2)) {
--- a/libs/dispatch/src/task_lifecycle.cpp
+++ b/libs/dispatch/src/task_lifecycle.cpp
@@ -79,6 +79,8 @@
     task.phase = task_phase::waiting;
     task.phase_since = time.now();
     task.percent = 0;
+    task.has_begun = false;
+    task.incarnation = executor_incarnation(0);
     if (auto* job = find_job(key.job); job != nullptr && !job->is_terminal()) {
         mark_dirty(*job);
     }
@@ -271,6 +273,7 @@
             !find_job(key.job)->is_terminal() && task.phase != task_phase::stopping;
         if (present.count(key) != 0 && is_wanted) {
             task.phase = task_phase::running;
+            task.has_begun = true;
             task.progressed_at = time.now();
             orders.send_traits(instances[index].name, key, traits_of(spec_of(key)));
             continue;
--- a/libs/dispatch/tests/agent_test.cpp
+++ b/libs/dispatch/tests/agent_test.cpp
@@ -25,13 +25,18 @@
                          const std::vector<finished_task>& completions) override {
         completions_reported += static_cast<int>(completions.size());
     }
-    void report_executor_terminated(executor_incarnation) override { ++terminations; }
+    void report_executor_terminated(executor_incarnation,
+                                    const std::vector<run_age>& ages) override {
+        ++terminations;
+        ages_at_end = ages;
+    }
 
     int starts = 0;
     int stops = 0;
     int stops_reported = 0;
     int completions_reported = 0;
     int terminations = 0;
+    std::vector<run_age> ages_at_end;
     std::vector<int> paces;
     std::vector<start_outcome> outcomes;
 };
@@ -233,3 +238,25 @@
     f.core.tick();
     CHECK(f.orders.stops == 3);
 }
+
+// The coordinator tells by it which task may have crashed the executor.
+TEST_CASE("the end of an executor is reported with the age of each of its runs") {
+    fixture f;
+    f.start();
+    f.core.start_answered(task, first_run, start_answer::started);
+    f.time.advance(milliseconds(400));
+    f.deliver_view({{task, first_run, "", 10, 0}}, {});
+    const task_key second{job_id("job"), 0, 0, 1};
+    start_order order;
+    order.task = second;
+    order.run = first_run;
+    order.incarnation = executor_incarnation(1);
+    f.core.start(order, epoch);
+    f.time.advance(milliseconds(200));
+    f.core.executor_unreachable();
+    REQUIRE(f.orders.ages_at_end.size() == 2);
+    CHECK(f.orders.ages_at_end[0].task == second);
+    CHECK(f.orders.ages_at_end[0].age == milliseconds(0));
+    CHECK(f.orders.ages_at_end[1].task == task);
+    CHECK(f.orders.ages_at_end[1].age == milliseconds(400));
+}
--- a/libs/dispatch/tests/crashing_tasks_test.cpp
+++ b/libs/dispatch/tests/crashing_tasks_test.cpp
@@ -3,6 +3,10 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <map>
+#include <set>
+
 #include "tanagerpaddle/dispatch.hpp"
 #include "world.hpp"
 
@@ -51,6 +55,82 @@
     world system;
 };
 
+struct recorder final : coordinator_orders {
+    void start(const instance_name& instance, const start_order& order) override {
+        started.emplace_back(instance, order);
+    }
+    void stop(const instance_name&, const task_key&, run_number) override {}
+    void acknowledge(const instance_name&, executor_incarnation, completion_number) override {}
+    void request_permits(const step_key&, const std::vector<executor_id>&) override {}
+    void send_traits(const instance_name&, const task_key&, const task_traits&) override {}
+    void report_crash(const executor_crash& crash) override { crashes.push_back(crash); }
+
+    std::vector<std::pair<instance_name, start_order>> started;
+    std::vector<executor_crash> crashes;
+};
+
+executor_info executor_of(const std::string& instance, std::int64_t incarnation) {
+    executor_info info;
+    info.id = executor_id("executor-" + instance);
+    info.incarnation = executor_incarnation(incarnation);
+    info.service = default_rules().service;
+    info.domain = failure_domain_id("domain");
+    info.capacity = {millicores(8'000), mebibytes(16'000), accelerator_count(0)};
+    return info;
+}
+
+// An owner without a store; rows are kept as a store would.
+struct owner_fixture {
+    manual_clock time;
+    recorder orders;
+    coordinator jobs{coordinator::options{}, time, orders};
+    std::map<job_id, std::string> rows;
+
+    owner_fixture() { jobs.set_queues({{queue_id("queue"), default_rules()}}); }
+
+    void claim(const std::string& instance, std::int64_t incarnation = 1) {
+        jobs.instance_claimed(instance_name(instance),
+                              {executor_of(instance, incarnation), {}, {}});
+    }
+    // Submits a job of one task.
+    void submit(const std::string& id) {
+        jobs.add_job(make_job(id, {1, 1, 1'000, milliseconds(10'000), false}), milliseconds(0));
+        plan();
+    }
+    void plan() {
+        jobs.plan();
+        if (jobs.has_writes()) {
+            for (const auto& row : jobs.begin_write()) {
+                rows[row.job] = row.value;
+            }
+            jobs.write_done();
+        }
+    }
+    void confirm_last_start() {
+        const auto& [instance, order] = orders.started.back();
+        jobs.start_reported(instance, order.task, order.run, start_outcome::started);
+    }
+    // The executor crashes right after it has begun its latest runs.
+    void crash_all(const instance_name& instance, std::int64_t incarnation) {
+        std::vector<run_age> ages;
+        for (const auto& [name, order] : orders.started) {
+            if (name == instance && order.incarnation == executor_incarnation(incarnation)) {
+                jobs.start_reported(name, order.task, order.run, start_outcome::started);
+                ages.push_back({order.task, order.run, milliseconds(0)});
+            }
+        }
+        jobs.executor_terminated(instance, executor_incarnation(incarnation), ages);
+    }
+    // The executor that got the last start crashes; `age` is that of its run. A new incarnation
+    // follows.
+    void crash_last(milliseconds age) {
+        const auto [instance, order] = orders.started.back();
+        jobs.executor_terminated(instance, order.incarnation,
+                                 std::vector<run_age>{{order.task, order.run, age}});
+        claim(instance.value(), order.incarnation.value() + 1);
+    }
+};
+
 }  // namespace
 
 TEST_CASE("a task that crashes its executors is given up, and only its job fails") {
@@ -106,3 +186,100 @@
         }
     }
 }
+
+TEST_CASE("a job fails once two executors have crashed right after the start of its only task") {
+    owner_fixture owner;
+    owner.claim("m1");
+    owner.submit("job");
+    owner.confirm_last_start();
+    owner.crash_last(milliseconds(0));
+    CHECK(name(owner.jobs.status(job_id("job"))->phase) == "running");
+    owner.plan();
+    REQUIRE(owner.orders.started.size() == 2);
+    owner.confirm_last_start();
+    owner.crash_last(milliseconds(0));
+    owner.plan();
+    CHECK(name(owner.jobs.status(job_id("job"))->phase) == "failed");
+    CHECK(owner.orders.started.size() == 2);
+}
+
+TEST_CASE("a run that its executor had for a while before the crash clears its task") {
+    owner_fixture owner;
+    owner.claim("m1");
+    owner.submit("job");
+    for (int crash = 0; crash < 5; ++crash) {
+        CAPTURE(crash);
+        owner.confirm_last_start();
+        owner.crash_last(milliseconds(crash % 2 == 0 ? 0 : 900));
+        owner.time.advance(std::chrono::seconds(3));
+        owner.claim("m1", crash + 2);
+        owner.plan();
+        CHECK(name(owner.jobs.status(job_id("job"))->phase) == "running");
+    }
+    CHECK(owner.orders.started.size() == 6);
+}
+
+TEST_CASE("an executor that leaves after a drain counts against no task") {
+    owner_fixture owner;
+    owner.claim("m1");
+    owner.submit("job");
+    owner.confirm_last_start();
+    auto info = executor_of("m1", 1);
+    info.is_draining = true;
+    owner.jobs.executor_changed(instance_name("m1"), info);
+    owner.crash_last(milliseconds(0));
+    CHECK(owner.orders.crashes.empty());
+}
+
+// The crash and the end of the owner coincide: nobody reports the crash to the next owner.
+TEST_CASE("a new owner counts a crash that the earlier one did not see") {
+    owner_fixture first;
+    first.claim("m1");
+    first.submit("job");
+    first.confirm_last_start();
+    first.crash_last(milliseconds(0));
+    first.plan();
+    REQUIRE(first.orders.started.size() == 2);
+
+    owner_fixture second;
+    const job_id id("job");
+    second.jobs.add_job(make_job("job", {1, 1, 1'000, milliseconds(10'000), false}),
+                        milliseconds(0));
+    REQUIRE(
+        second.jobs.restore(id, first.rows.at(id), second.time.now() + std::chrono::seconds(5)));
+    second.claim("m1", 3);
+    REQUIRE(second.orders.crashes.size() == 1);
+    REQUIRE(second.orders.crashes[0].suspects.size() == 1);
+    CHECK(second.orders.crashes[0].suspects[0].crashes == 2);
+    // The second run is not known to have begun, which is no proof yet.
+    CHECK(name(second.jobs.status(id)->phase) == "running");
+}
+
+TEST_CASE("a task with two crashes starts on an instance where nothing else starts") {
+    owner_fixture owner;
+    owner.claim("m1");
+    owner.submit("first");
+    owner.submit("second");
+    for (std::int64_t life = 1; life <= 2; ++life) {
+        owner.crash_all(instance_name("m1"), life);
+        owner.time.advance(std::chrono::seconds(1));
+        if (life == 1) {
+            owner.claim("m1", 2);
+            owner.plan();
+        }
+    }
+    owner.claim("m1", 3);
+    owner.claim("m2");
+    owner.orders.started.clear();
+    owner.submit("third");
+    std::map<instance_name, std::set<job_id>> jobs_on;
+    for (const auto& [instance, order] : owner.orders.started) {
+        jobs_on[instance].insert(order.task.job);
+    }
+    // Two instances; one of them at a time is kept for a task that may crash it.
+    const std::set<job_id> first{job_id("first")};
+    const std::set<job_id> third{job_id("third")};
+    REQUIRE(jobs_on.size() == 2);
+    CHECK((jobs_on.begin()->second == first || jobs_on.rbegin()->second == first));
+    CHECK((jobs_on.begin()->second == third || jobs_on.rbegin()->second == third));
+}
--- a/libs/dispatch/tests/random_faults_test.cpp
+++ b/libs/dispatch/tests/random_faults_test.cpp
@@ -34,7 +34,8 @@
     return faults;
 }
 
-void run_scenario(std::uint64_t seed, const world_faults& faults) {
+// `crashing_share` is the share of jobs with a task that crashes the executors that start it.
+void run_scenario(std::uint64_t seed, const world_faults& faults, double crashing_share = 0) {
     CAPTURE(seed);
     world_options options;
     options.seed = seed;
@@ -49,6 +50,9 @@
         shape.run_time = milliseconds(100 + static_cast<std::int64_t>(random.below(1'500)));
         const std::string id = "job-" + std::to_string(i);
         system.submit(make_job(id, shape));
+        if (crashing_share > 0 && random.chance(crashing_share)) {
+            system.make_crashing({job_id(id), 0, 0, 0});
+        }
         if (random.chance(0.1)) {
             system.run_for(milliseconds(static_cast<std::int64_t>(random.below(1'000))));
             system.cancel(job_id(id));
@@ -102,3 +106,10 @@
         run_scenario(seed, faults);
     }
 }
+
+TEST_CASE("no invariant is violated when tasks crash executors beside random faults") {
+    const auto last = number_from("TANAGERPADDLE_SEEDS", seeds);
+    for (std::uint64_t seed = 1; seed <= last; ++seed) {
+        run_scenario(seed, all_faults(), 0.15);
+    }
+}
--- a/libs/dispatch/tests/records_test.cpp
+++ b/libs/dispatch/tests/records_test.cpp
@@ -62,6 +62,21 @@
     CHECK_FALSE(decode_progress(R"({"p":1,"t":[[0]]})").has_value());
 }
 
+TEST_CASE("crashes and executors in a progress row are read back, and may be missing") {
+    const auto record = decode_progress(
+        R"({"p":1,"t":[[0,1,2,5,0,"m1","",3,2],[0,1,3,1,0,"m1",""]],"e":{"m1":77},"d":[]})");
+    REQUIRE(record.has_value());
+    REQUIRE(record->histories.size() == 2);
+    CHECK(record->histories[0].crashes.suspected == 3);
+    CHECK(record->histories[0].crashes.confirmed == 2);
+    CHECK(record->histories[1].crashes.suspected == 0);
+    CHECK(record->executors.at(instance_name("m1")) == executor_incarnation(77));
+    const auto earlier = decode_progress(R"({"p":1,"t":[[0,1,2,5,0,"m1",""]],"d":[]})");
+    REQUIRE(earlier.has_value());
+    CHECK(earlier->executors.empty());
+    CHECK_FALSE(decode_progress(R"({"p":1,"t":[],"e":{"m1":"x"},"d":[]})").has_value());
+}
+
 TEST_CASE("malformed jobs are rejected with the reason") {
     job_spec job;
     CHECK_THROWS_AS(validate(job), error);
--- a/libs/dispatch/tests/world.cpp
+++ b/libs/dispatch/tests/world.cpp
@@ -101,7 +101,8 @@
     void report_stop(const task_key& task, run_number run) override;
     void report_finished(executor_incarnation incarnation,
                          const std::vector<finished_task>& completions) override;
-    void report_executor_terminated(executor_incarnation incarnation) override;
+    void report_executor_terminated(executor_incarnation incarnation,
+                                    const std::vector<run_age>& ages) override;
 };
 
 struct world::state : coordinator_orders {
@@ -457,9 +458,10 @@
     });
 }
 
-void sim_instance::report_executor_terminated(executor_incarnation incarnation) {
-    owner->to_coordinator(*this, [n = name, incarnation](coordinator& target) {
-        target.executor_terminated(n, incarnation);
+void sim_instance::report_executor_terminated(executor_incarnation incarnation,
+                                              const std::vector<run_age>& ages) {
+    owner->to_coordinator(*this, [n = name, incarnation, ages](coordinator& target) {
+        target.executor_terminated(n, incarnation, ages);
     });
 }
 
--- a/libs/dispatch_node/src/agent_node.cpp
+++ b/libs/dispatch_node/src/agent_node.cpp
@@ -299,8 +299,13 @@
         send({{"t", "ends"}, {"life", incarnation.value()}, {"ends", std::move(list)}});
     }
 
-    void report_executor_terminated(executor_incarnation incarnation) override {
-        send({{"t", "gone"}, {"life", incarnation.value()}});
+    void report_executor_terminated(executor_incarnation incarnation,
+                                    const std::vector<run_age>& ages) override {
+        json list = json::array();
+        for (const auto& age : ages) {
+            list.push_back(messages::encode(age));
+        }
+        send({{"t", "gone"}, {"life", incarnation.value()}, {"ages", std::move(list)}});
     }
 
     eventio::event_loop& loop;
--- a/libs/dispatch_node/src/messages.cpp
+++ b/libs/dispatch_node/src/messages.cpp
@@ -137,6 +137,23 @@
     return decode_enum(in, job_phase::cancelled);
 }
 
+json encode(const run_age& age) {
+    return {encode(age.task), age.run.value(), age.age.count()};
+}
+
+run_age decode_run_age(const json& in) {
+    return {decode_task(in.at(0)), run_number(decode_unsigned<std::uint32_t>(in.at(1))),
+            milliseconds(in.at(2).get<std::int64_t>())};
+}
+
+std::vector<run_age> decode_run_ages(const json& message) {
+    std::vector<run_age> ages;
+    for (const auto& age : message.value("ages", json::array())) {
+        ages.push_back(decode_run_age(age));
+    }
+    return ages;
+}
+
 json encode(const inventory& found) {
     json out{{"t", "inventory"}, {"running", json::array()}, {"finished", json::array()}};
     if (found.executor) {
--- a/libs/dispatch_node/src/messages.hpp
+++ b/libs/dispatch_node/src/messages.hpp
@@ -20,6 +20,10 @@
 [[nodiscard]] json encode(const executor_info& info);
 [[nodiscard]] json encode(const running_task& run);
 [[nodiscard]] json encode(const finished_task& finished_run);
+[[nodiscard]] json encode(const run_age& age);
+[[nodiscard]] run_age decode_run_age(const json& in);
+// The ages in a message; empty if it is from an agent of an earlier version, which sends none.
+[[nodiscard]] std::vector<run_age> decode_run_ages(const json& message);
 [[nodiscard]] json encode(const inventory& found);
 [[nodiscard]] json encode(const interference_model::pressure_table& pressures);
 
--- a/libs/dispatch_node/src/owner_links.cpp
+++ b/libs/dispatch_node/src/owner_links.cpp
@@ -156,7 +156,8 @@
         coordinator_.executor_changed(instance, info);
     } else if (kind == "gone") {
         log_event(log_level::warning, "executor_gone", {{"agent", instance.value()}});
-        coordinator_.executor_terminated(instance, incarnation());
+        coordinator_.executor_terminated(instance, incarnation(),
+                                         messages::decode_run_ages(message));
     }
 }
 
--- a/libs/dispatch_node/src/owner_session.cpp
+++ b/libs/dispatch_node/src/owner_session.cpp
@@ -256,6 +256,19 @@
                     {"traits", messages::encode(traits)}});
 }
 
+void owner_session::report_crash(const executor_crash& crash) {
+    log_event(log_level::warning, crash.is_unreachable ? "executor_expired" : "executor_crashed",
+              {{"agent", crash.instance.value()}, {"suspects", crash.suspects.size()}});
+    for (const auto& suspect : crash.suspects) {
+        log_event(log_level::warning, suspect.has_failed ? "task_given_up" : "task_suspected",
+                  {{"task", to_string(suspect.task)},
+                   {"run", suspect.run.value()},
+                   {"agent", crash.instance.value()},
+                   {"crashes", suspect.crashes},
+                   {"has_begun", suspect.has_begun}});
+    }
+}
+
 // ---------------------------------------------------------------------------------------------
 // Time and writes
 
--- a/libs/dispatch_node/src/owner_session.hpp
+++ b/libs/dispatch_node/src/owner_session.hpp
@@ -55,6 +55,7 @@
     void request_permits(const step_key& step, const std::vector<executor_id>& executors) override;
     void send_traits(const instance_name& instance, const task_key& task,
                      const task_traits& traits) override;
+    void report_crash(const executor_crash& crash) override;
 
 private:
     using json = messages::json;
--- a/libs/dispatch_node/tests/messages_test.cpp
+++ b/libs/dispatch_node/tests/messages_test.cpp
@@ -22,3 +22,15 @@
                         messages::json::exception);
     }
 }
+
+TEST_CASE("an encoded age of a run is decoded unchanged, and malformed ones are rejected") {
+    const run_age age{{job_id("job"), 1, 2, 3}, run_number(4), milliseconds(50)};
+    const auto decoded = messages::decode_run_age(messages::encode(age));
+    CHECK(decoded.task == age.task);
+    CHECK(decoded.run == age.run);
+    CHECK(decoded.age == age.age);
+    for (const auto* text : {R"([])", R"([["job",0,0,0],"x",1])", R"([["job",0,0,0],1])"}) {
+        CAPTURE(text);
+        CHECK_THROWS(static_cast<void>(messages::decode_run_age(messages::json::parse(text))));
+    }
+}
