dispatch: placed tasks that no longer fit a shrunk capacity are requeued before they are sent

Callers see: an executor that does not guard its capacity is started beyond it when its capacity shrinks while the row of a placed start is being written; a slow store widens that time to seconds. Cause: a task is checked against the capacity when it is placed, and sent when its row is durable. In between only the incarnation and a drain were checked again (write_done), not the capacity. Ruled out: placement itself. With tasks above the new capacity free() is negative, nothing is placed, fillers included; growth is usable again; crash and return of an instance above its capacity hold the invariants; an owner after a takeover and a claimed agent place by the reported capacity. Change: executor_changed and instance_claimed requeue placed tasks of an instance that is over its capacity. The most urgent are kept first, then the smallest, so that as many as fit are kept. Their rows are written again, and their pending starts are skipped by run number as after a disconnection. The simulated world has a capacity that shrinks and grows, reported up to 1.5 s late, and counts a smaller one 4.5 s later; slow writes; and resize(). Why it works: what is committed grows only by placement, which checks it, and by reconcile, which is followed by this check; so at each send the instance is within the capacity the owner knows.

--- a/libs/dispatch/src/coordinator.cpp
+++ b/libs/dispatch/src/coordinator.cpp
@@ -194,6 +194,7 @@
     }
     runs_finished(name, found.executor->incarnation, found.finished);
     state_->reconcile(index, found);
+    state_->requeue_excess_tasks(index);
 }
 
 void coordinator::instance_disconnected(const instance_name& name, instant expires_at) {
@@ -224,6 +225,7 @@
         instance.health = {};
     }
     instance.executor = info;
+    state_->requeue_excess_tasks(index);
 }
 
 void coordinator::executor_terminated(const instance_name& name, executor_incarnation incarnation) {
--- a/libs/dispatch/src/coordinator_state.hpp
+++ b/libs/dispatch/src/coordinator_state.hpp
@@ -134,6 +134,8 @@
     void remove_orphaned_run(std::size_t instance, const task_key& key, run_number run);
     void stop_task(const task_key& key, task_state& task);
     void clear_instance(std::size_t instance);
+    // Requeues placed tasks of an instance that is over its capacity until the others fit.
+    void requeue_excess_tasks(std::size_t instance);
     void handle_completion(std::size_t instance, const finished_task& completion);
     void mark_succeeded(const task_key& key, task_state& task);
     void record_failure(const task_key& key, task_state& task, std::size_t instance);
--- a/libs/dispatch/src/task_lifecycle.cpp
+++ b/libs/dispatch/src/task_lifecycle.cpp
@@ -1,6 +1,7 @@
 // Task lifecycle: starts, completions, stops, and loss and return of instances.
 
 #include <algorithm>
+#include <tuple>
 
 #include "coordinator_state.hpp"
 
@@ -46,6 +47,16 @@
     }
 }
 
+// The largest share of an amount's components in those of `capacity`.
+double dominant_share(const resources& amount, const resources& capacity) {
+    const auto share = [](std::int64_t part, std::int64_t whole) {
+        return static_cast<double>(part) / static_cast<double>(std::max<std::int64_t>(1, whole));
+    };
+    return std::max({share(amount.processors.value(), capacity.processors.value()),
+                     share(amount.memory.value(), capacity.memory.value()),
+                     share(amount.accelerators.value(), capacity.accelerators.value())});
+}
+
 }  // namespace
 
 task_traits traits_of(const step_spec& spec) {
@@ -143,6 +154,35 @@
         "cleared instance still has committed resources: " + to_string(instance.committed));
 }
 
+void coordinator::state::requeue_excess_tasks(std::size_t index) {
+    auto& instance = instances[index];
+    if (!instance.executor || instance.committed.fits_in(instance.executor->capacity)) {
+        return;
+    }
+    const resources& capacity = instance.executor->capacity;
+    // The most urgent are kept first; among equals the smallest, so that as many as possible are.
+    using candidate = std::tuple<int, double, task_key>;
+    std::vector<candidate> placed;
+    resources kept = instance.committed;
+    for (const auto& key : instance.tasks) {
+        if (find_task(key)->phase == task_phase::placed) {
+            const resources demand = reserved_resources(spec_of(key));
+            kept -= demand;
+            placed.emplace_back(find_job(key.job)->submitted.rules.priority,
+                                dominant_share(demand, capacity), key);
+        }
+    }
+    std::sort(placed.begin(), placed.end());
+    for (const auto& [priority, share, key] : placed) {
+        const resources demand = reserved_resources(spec_of(key));
+        if ((kept + demand).fits_in(capacity)) {
+            kept += demand;
+        } else {
+            requeue(key, *find_task(key));
+        }
+    }
+}
+
 void coordinator::state::handle_completion(std::size_t index, const finished_task& completion) {
     remove_orphaned_run(index, completion.task, completion.run);
     auto* task = find_task(completion.task);
--- a/libs/dispatch/tests/random_faults_test.cpp
+++ b/libs/dispatch/tests/random_faults_test.cpp
@@ -102,3 +102,18 @@
         run_scenario(seed, faults);
     }
 }
+
+// Guards against starts that were placed by a capacity that no longer holds.
+TEST_CASE("no invariant is violated when capacities shrink and grow while the store is slow") {
+    auto faults = all_faults();
+    faults.capacity_change = 0.3;
+    faults.slow_write = 0.1;
+    if (const auto only = number_from("TANAGERPADDLE_SEED", 0); only != 0) {
+        run_scenario(only, faults);
+        return;
+    }
+    const auto last = number_from("TANAGERPADDLE_SEEDS", seeds);
+    for (std::uint64_t seed = 1; seed <= last; ++seed) {
+        run_scenario(seed, faults);
+    }
+}
--- a/libs/dispatch/tests/world.cpp
+++ b/libs/dispatch/tests/world.cpp
@@ -13,6 +13,11 @@
 constexpr milliseconds plan_interval{20};
 constexpr milliseconds stop_time{100};
 constexpr milliseconds order_limit{400};
+// Longest time between two reports of an executor.
+constexpr milliseconds report_interval{1'500};
+// A capacity that has shrunk still counts until the report has certainly arrived: the shortest
+// contact time, and one report later.
+constexpr milliseconds shrink_notice = milliseconds(3'000) + report_interval;
 
 using run_key = std::pair<task_key, run_number>;
 
@@ -89,6 +94,10 @@
     epoch_number claim;
     instant last_grant;
     bool hangs = false;
+    // The current capacity; the one in `executor.info` was reported last.
+    resources capacity;
+    // Earlier capacities, with the time until which they count.
+    std::vector<std::pair<instant, resources>> earlier_capacities;
 
     void call_start(const start_order& order, epoch_number epoch) override;
     void call_stop(const task_key& task, run_number run, epoch_number epoch) override;
@@ -204,6 +213,9 @@
     void finish_due_runs(sim_executor& executor, std::size_t index);
     void record_finish(sim_executor& executor, const run_key& key, run_outcome how);
     void check_start(std::size_t index, const start_order& order);
+    void change_capacity(std::size_t index, const resources& capacity, milliseconds report_delay);
+    void shrink_for_a_while(std::size_t index);
+    [[nodiscard]] resources counted_capacity(std::size_t index) const;
     void restart_executor(std::size_t index);
     void record_acknowledged(sim_executor& executor, std::uint64_t number);
 
@@ -247,7 +259,7 @@
     for (const auto& [key, run] : instances[index]->executor.running) {
         used += run.demand;
     }
-    if (!used.fits_in(instances[index]->executor.info.capacity)) {
+    if (!used.fits_in(counted_capacity(index))) {
         violation("overcommitted by " + what + ": " + to_string(used));
     }
     for (const auto& other : instances) {
@@ -275,6 +287,41 @@
     }
 }
 
+void world::state::change_capacity(std::size_t index, const resources& capacity,
+                                   milliseconds report_delay) {
+    auto& instance = *instances[index];
+    instance.earlier_capacities.emplace_back(time.now() + shrink_notice, instance.capacity);
+    instance.capacity = capacity;
+    at(report_delay, [&instance] { instance.executor.info.capacity = instance.capacity; });
+}
+
+void world::state::shrink_for_a_while(std::size_t index) {
+    const auto report_delay = [this] {
+        return milliseconds(static_cast<std::int64_t>(
+            random.below(static_cast<std::uint64_t>(report_interval.count()))));
+    };
+    auto smaller = options.capacity;
+    const auto percent = static_cast<std::int64_t>(random.below(100));
+    smaller.processors = millicores(smaller.processors.value() * percent / 100);
+    change_capacity(index, smaller, report_delay());
+    at(milliseconds(500 + static_cast<std::int64_t>(random.below(10'000))),
+       [this, index, report_delay] { change_capacity(index, options.capacity, report_delay()); });
+}
+
+// The largest capacity that a start may rely on, by component.
+resources world::state::counted_capacity(std::size_t index) const {
+    const auto& instance = *instances[index];
+    resources largest = instance.capacity;
+    for (const auto& [counts_until, capacity] : instance.earlier_capacities) {
+        if (time.now() <= counts_until) {
+            largest.processors = std::max(largest.processors, capacity.processors);
+            largest.memory = std::max(largest.memory, capacity.memory);
+            largest.accelerators = std::max(largest.accelerators, capacity.accelerators);
+        }
+    }
+    return largest;
+}
+
 void world::state::record_finish(sim_executor& executor, const run_key& key, run_outcome how) {
     executor.running.erase(key);
     auto& highest_run = executor.highest_run[key.first];
@@ -529,7 +576,11 @@
     const auto rows = jobs->begin_write();
     const bool fails = time.now() < writes_fail_until;
     const bool is_answer_lost = random.chance(faults.lost_write_answer);
-    at(write_delay, [this, rows, fails, is_answer_lost, write_generation = generation] {
+    // Draws only with this fault, so that the seeds of other tests keep their meaning.
+    const bool is_slow = faults.slow_write > 0 && random.chance(faults.slow_write);
+    const auto delay =
+        is_slow ? milliseconds(static_cast<std::int64_t>(random.below(9'000))) : write_delay;
+    at(delay, [this, rows, fails, is_answer_lost, write_generation = generation] {
         if (write_generation != generation) {
             return;  // the condition on the owner's row no longer holds
         }
@@ -571,6 +622,9 @@
             unlink(instance);
             instance.core = std::make_unique<agent>(time, instance);
         }
+        if (faults.capacity_change > 0 && random.chance(faults.capacity_change * per_second)) {
+            shrink_for_a_while(i);
+        }
     }
     if (random.chance(faults.takeover * per_second)) {
         new_coordinator();
@@ -597,6 +651,7 @@
         info.service = service_id("service");
         info.domain = failure_domain_id("domain-" + std::to_string(i % 2));
         info.capacity = options.capacity;
+        instance->capacity = options.capacity;
         state_->index_of[instance->name] = i;
         state_->instances.push_back(std::move(instance));
     }
@@ -649,6 +704,10 @@
     state_->instances.at(instance)->hangs = hangs;
 }
 
+void world::resize(std::size_t instance, const resources& capacity) {
+    state_->change_capacity(instance, capacity, milliseconds(0));
+}
+
 void world::evacuate(const std::set<failure_domain_id>& domains) {
     state_->evacuated = domains;
     state_->jobs->set_evacuated(domains);
--- a/libs/dispatch/tests/world.hpp
+++ b/libs/dispatch/tests/world.hpp
@@ -33,6 +33,10 @@
     double failed_run = 0;
     // Share of writes that succeed but are reported as failed.
     double lost_write_answer = 0;
+    // The capacity shrinks, and grows back after some seconds.
+    double capacity_change = 0;
+    // Share of writes that take seconds.
+    double slow_write = 0;
 };
 
 class world {
@@ -53,6 +57,8 @@
     void drain(std::size_t instance);
     // Runs on the instance make no progress until they are stopped.
     void hang(std::size_t instance, bool hangs);
+    // The executor has another capacity from now on, and reports it at once.
+    void resize(std::size_t instance, const resources& capacity);
     void evacuate(const std::set<failure_domain_id>& domains);
     // All writes fail until `time` has passed.
     void fail_writes(milliseconds time);
