--- a/libs/dispatch/src/coordinator.cpp
+++ b/libs/dispatch/src/coordinator.cpp
@@ -216,6 +216,7 @@
     instance.listed_at = state_->time.now();
     runs_finished(name, found.executor->incarnation, found.finished);
     state_->reconcile(index, found);
+    state_->requeue_excess_tasks(index);
 }
 
 void coordinator::instance_disconnected(const instance_name& name, instant expires_at) {
@@ -246,6 +247,7 @@
         instance.health = {};
     }
     instance.executor = info;
+    state_->requeue_excess_tasks(index);
 }
 
 void coordinator::executor_terminated(const instance_name& name, executor_incarnation incarnation,
@@ -400,13 +402,13 @@
 }
 
 void coordinator::write_done() {
-    const auto write = std::move(*state_->active_write);
+    auto write = std::move(*state_->active_write);
     state_->active_write.reset();
     for (const auto& [id, phase] : write.phases) {
         state_->find_job(id)->durable_phase = phase;
     }
-    for (const auto& [id, starts] : write.starts) {
-        for (const auto& start : starts) {
+    for (auto& [id, starts] : write.starts) {
+        for (auto& start : starts) {
             auto* task = state_->find_task(start.order.task);
             auto& instance = state_->instances[start.instance];
             if (task->phase != task_phase::placed || task->run != start.order.run) {
@@ -422,6 +424,8 @@
             task->started_at = task->phase_since;
             instance.last_start_at = task->phase_since;
             state_->mark_started(*state_->find_job(id));
+            // It may have changed since the placement and still suffice.
+            start.order.capacity = instance.executor->capacity;
             state_->orders.start(instance.name, start.order);
         }
     }
