dispatch: a row that lists a task twice ends no owner

Cause: restore() assigned a task once for each entry of the row, so that a task listed twice counted its demand twice on its instance; the next end of the executor then left committed resources, and check_invariant ended the owner. The row is in the store, so each later owner ended in the same way. Two entries in the list of successes counted twice: the step was never done. An entry for a task that the job does not have ended the reading, and the tasks after it started again although they might run on an unreachable instance.

Ruled out: an owner writes such rows itself (encode_progress visits each task once); an occurrence, step or index out of range is rejected by find_task before the row's numbers are used as indices.

--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -434,8 +434,9 @@
     void add_job(const submitted_job& job, milliseconds age);
     // Restores a progress row that an earlier owner wrote; call it after add_job of its job. Tasks
     // that the row places on an instance stay assigned to it until the instance's inventory
-    // resolves their state or `expires_at` has passed. Returns false if the row cannot be read;
-    // such a row is ignored.
+    // resolves their state or `expires_at` has passed. Returns false if the row cannot be read,
+    // which is then ignored, or if it lists a task twice or one that the job does not have: these
+    // entries are ignored.
     bool restore(const job_id& job, std::string_view row, instant expires_at);
     void cancel_job(const job_id& job);
     // Returns std::nullopt for an unknown job. Only durable states are reported.
--- a/libs/dispatch/src/coordinator.cpp
+++ b/libs/dispatch/src/coordinator.cpp
@@ -113,17 +113,23 @@
         state_->mark_started(*job);
         return true;
     }
+    bool is_consistent = true;
     for (const auto& [k, s, i] : record->succeeded) {
-        if (auto* task = state_->find_task({id, k, s, i}); task != nullptr) {
-            task->phase = task_phase::succeeded;
-            ++job->occurrences[k].steps[s].succeeded;
+        auto* task = state_->find_task({id, k, s, i});
+        if (task == nullptr || task->phase == task_phase::succeeded) {
+            is_consistent = false;
+            continue;
         }
+        task->phase = task_phase::succeeded;
+        ++job->occurrences[k].steps[s].succeeded;
     }
     for (const auto& entry : record->histories) {
         const task_key key{id, entry.occurrence, entry.step, entry.index};
         auto* task = state_->find_task(key);
-        if (task == nullptr) {
-            return false;
+        // Each task counts once: its demand, or its success, would be counted twice.
+        if (task == nullptr || task->phase != task_phase::waiting || task->run > run_number(0)) {
+            is_consistent = false;
+            continue;
         }
         task->run = entry.run;
         task->failures = entry.failures;
@@ -139,7 +145,7 @@
     if (!record->succeeded.empty() || !record->histories.empty()) {
         state_->mark_started(*job);
     }
-    return true;
+    return is_consistent;
 }
 
 void coordinator::cancel_job(const job_id& id) {
