scheduling: a task that crashes worker after worker is given up

What callers saw: nothing in libs/scheduling bounded it. In the simulation one task that crashed each worker that started it was started 60 times in 20 minutes on four workers, its job never ended, and a job submitted beside it did not end either (workers back after 3 s; after 60 s: 52 starts, and no job ended).

A reclaim is recorded nowhere in the task's record.

Ruled out: tasks that may not be repeated (lost after the first crash, as before); evictions (ordered by the owner, at a limited rate); refused starts (nothing ran).

Change: the record counts workers that went away within 10 s of running time of the task (crash_count); at 5 the task fails with task_failed, which fails its job. The count is 0 again once an attempt has outlived these 10 s, also in the row. From 2 on, a task starts on workers where no other task has just started, one a worker, and nothing starts beside it until it has outlived its start; one worker with room is kept free of new starts, so that the first suspect does not wait for ever. tanagerpaddlectl shows the count as CRASHES.

Why it works: the count is part of the task's row and is written with the reclaim, so it outlives the owner. Beside a suspect no other task is in its first 10 s, so a sound task gets at most two counts from a task that crashes workers, and then runs apart.

--- a/apps/ctl/job_commands.cpp
+++ b/apps/ctl/job_commands.cpp
@@ -86,8 +86,8 @@
 }
 
 text_table task_table(const nlohmann::json& tasks) {
-    text_table table(
-        {"TASK", "STATE", "ATTEMPT", "WORKER", "DOMAIN", "PROGRESS", "FAILURES", "EVICTIONS"});
+    text_table table({"TASK", "STATE", "ATTEMPT", "WORKER", "DOMAIN", "PROGRESS", "FAILURES",
+                      "EVICTIONS", "CRASHES"});
     for (const auto& task : tasks) {
         constexpr double percent = 100;
         table.add({std::to_string(task.value("index", 0U)), cell(task, "state"),
@@ -95,7 +95,8 @@
                    cell(task, "domain"),
                    std::to_string(static_cast<int>(task.value("progress", 0.0) * percent)) + "%",
                    std::to_string(task.value("failure_count", 0U)),
-                   std::to_string(task.value("eviction_count", 0U))});
+                   std::to_string(task.value("eviction_count", 0U)),
+                   std::to_string(task.value("crash_count", 0U))});
     }
     return table;
 }
--- a/apps/ctl/state_commands.cpp
+++ b/apps/ctl/state_commands.cpp
@@ -100,11 +100,12 @@
     const auto id = positional(arguments, 1, 1).front();
     const auto body = context.entries.get("/v1/jobs/" + url_escaped(id) + "/explain");
     text_table table({"TASK", "STATE", "ATTEMPT", "WORKER", "WAITS FOR", "REASON", "OWNER",
-                      "FAILURES", "EVICTIONS"});
+                      "FAILURES", "EVICTIONS", "CRASHES"});
     for (const auto& item : body) {
         table.add({cell(item, "index"), cell(item, "state"), cell(item, "attempt"),
                    cell(item, "worker"), cell(item, "waits_for"), cell(item, "reason"),
-                   cell(item, "owner"), cell(item, "failures"), cell(item, "evictions")});
+                   cell(item, "owner"), cell(item, "failures"), cell(item, "evictions"),
+                   cell(item, "crashes")});
     }
     print(context, body, table);
     return exit_status::ok;
--- a/libs/entry/src/operator_jobs.cpp
+++ b/libs/entry/src/operator_jobs.cpp
@@ -51,7 +51,8 @@
             {"waits_for", name(item.waits_for)},
             {"reason", item.reason ? json(name(*item.reason)) : json(nullptr)},
             {"failures", item.failure_count},
-            {"evictions", item.eviction_count}};
+            {"evictions", item.eviction_count},
+            {"crashes", item.crash_count}};
 }
 
 // A submission stands for a configuration with one job, so that the same rules apply.
--- a/libs/protocol/include/tanagerpaddle/protocol.hpp
+++ b/libs/protocol/include/tanagerpaddle/protocol.hpp
@@ -318,6 +318,9 @@
     double progress = 0;
     std::uint32_t failure_count = 0;
     std::uint32_t eviction_count = 0;
+    // Workers that went away shortly after they had started the task; 0 again once it has outlived
+    // its start.
+    std::uint32_t crash_count = 0;
     result_code code = result_code::ok;
 };
 
--- a/libs/protocol/src/json.cpp
+++ b/libs/protocol/src/json.cpp
@@ -198,7 +198,7 @@
 TANAGERPADDLE_JSON(job_row, declaration, group_count, group_partitions, ended_groups, ended_tasks,
                    state, is_declared, submitted_at, ended_at)
 TANAGERPADDLE_JSON(task_record, index, state, attempt, worker, domain, checkpoint, progress,
-                   failure_count, eviction_count, code)
+                   failure_count, eviction_count, crash_count, code)
 TANAGERPADDLE_JSON(group_row, declaration, group, is_cancel_requested, submitted_at, declared_in,
                    tasks)
 TANAGERPADDLE_JSON(configuration_row, version, document, operations, changed_by)
--- a/libs/scheduling/include/tanagerpaddle/scheduling.hpp
+++ b/libs/scheduling/include/tanagerpaddle/scheduling.hpp
@@ -80,6 +80,13 @@
     milliseconds worker_sync_timeout{6'000};
     // A task fails for good after this many failed attempts.
     std::uint32_t max_failures = 3;
+    // A task fails for good after this many workers have gone away shortly after its start.
+    std::uint32_t max_crashes = 5;
+    // From this many on, the task starts on workers where no other task has just started, and
+    // nothing starts beside it, so that only one of them is suspected of the next crash.
+    std::uint32_t isolate_after_crashes = 2;
+    // A task that has run for this long on a worker is not the cause if the worker goes away.
+    milliseconds crash_window{10'000};
     // Delay before the first retry of a failed task; doubles with each further failure.
     milliseconds retry_backoff{1'000};
     // Consecutive task failures after which a worker gets no claims for `quarantine_period`.
@@ -219,6 +226,7 @@
     entry_id owner;
     std::uint32_t failure_count = 0;
     std::uint32_t eviction_count = 0;
+    std::uint32_t crash_count = 0;
 };
 
 struct scheduler_counters {
--- a/libs/scheduling/src/claims.cpp
+++ b/libs/scheduling/src/claims.cpp
@@ -114,7 +114,10 @@
     input.teams = team_shares();
     input.now = time.utc_now();
     input.max_starts = options.max_starts_per_tick;
-    const placement_plan plan = strategy.plan(input);
+    placement_plan plan = plan_suspects(p, input);
+    const placement_plan others = strategy.plan(input);
+    plan.placed.insert(plan.placed.end(), others.placed.begin(), others.placed.end());
+    plan.unplaced.insert(plan.unplaced.end(), others.unplaced.begin(), others.unplaced.end());
     record_unplaced(p, plan);
     std::vector<placed_task> urgent;
     std::vector<placed_task> normal;
--- a/libs/scheduling/src/explain.cpp
+++ b/libs/scheduling/src/explain.cpp
@@ -53,6 +53,7 @@
         answer.attempt = record.attempt;
         answer.failure_count = record.failure_count;
         answer.eviction_count = record.eviction_count;
+        answer.crash_count = record.crash_count;
         const partition_state* p = owned(answer.partition);
         const group_state* group = p ? find_group(*p, answer.task) : nullptr;
         if (p) {
--- a/libs/scheduling/src/records.cpp
+++ b/libs/scheduling/src/records.cpp
@@ -40,6 +40,7 @@
             apply_report(p, received, edits);
         }
     }
+    clear_outlived_crashes(p, edits);
     reclaim_tasks(p, edits);
     finish_expired_holds(p, edits);
     commit_edits(p, edits);
@@ -313,6 +314,9 @@
         record_decision(decision_kind::task_lost, p.number, attempt, worker, cause);
         return;
     }
+    if (may_have_started && !count_crash(p, attempt, record)) {
+        return;
+    }
     make_pending(record);
     if (may_have_started) {
         ++counts.reclaims;
--- a/libs/scheduling/src/scheduler_state.hpp
+++ b/libs/scheduling/src/scheduler_state.hpp
@@ -60,6 +60,8 @@
     attempt_number attempt;
     std::string checkpoint;
     double progress = 0;
+    // How long the attempt has run, as last reported.
+    milliseconds run_time{0};
     std::set<worker_id> excluded_workers;
     instant retry_at;
 };
@@ -203,6 +205,24 @@
     [[nodiscard]] instant permit_end(const partition_state& p, const task_attempt& attempt) const;
     void wake(const partition_state& p, const worker_id& worker);
 
+    // --- worker_crashes.cpp
+    // True if the attempt is known to have run for longer than the crash window.
+    [[nodiscard]] bool has_outlived_start(const partition_state& p,
+                                          const task_attempt& attempt) const;
+    // The task's worker is gone. False if the task is given up.
+    [[nodiscard]] bool count_crash(partition_state& p, const task_attempt& attempt,
+                                   task_record& record);
+    void clear_outlived_crashes(partition_state& p, group_edits& edits);
+    [[nodiscard]] bool is_suspect(const partition_state& p, const task_key& task) const;
+    // Workers with a task that has not outlived its start, and those where it is a suspect.
+    struct start_risks {
+        std::set<worker_id> with_recent_start;
+        std::set<worker_id> with_suspect;
+    };
+    [[nodiscard]] start_risks recent_starts(const partition_state& p) const;
+    // Places the suspects and removes them and their workers from the input.
+    [[nodiscard]] placement_plan plan_suspects(const partition_state& p, placement_input& input);
+
     // --- claims.cpp
     void plan_claims(partition_state& p);
     [[nodiscard]] std::vector<worker_view> worker_views(const partition_state& p) const;
--- a/libs/scheduling/src/sync.cpp
+++ b/libs/scheduling/src/sync.cpp
@@ -113,6 +113,7 @@
         }
         transient.attempt = task.attempt.attempt;
         transient.progress = task.progress;
+        transient.run_time = milliseconds(task.run_ms);
         if (!task.checkpoint.empty()) {
             transient.checkpoint = task.checkpoint;
         }
--- a/libs/scheduling/tests/world.cpp
+++ b/libs/scheduling/tests/world.cpp
@@ -124,6 +124,18 @@
     tasks_.erase(attempt);
 }
 
+void fake_runtime::lose_tasks() {
+    for (const auto& [attempt, entry] : tasks_) {
+        record_.remove_task(worker_, attempt);
+    }
+    tasks_.clear();
+}
+
+bool fake_runtime::holds_any(const std::set<job_id>& jobs) const {
+    return std::any_of(tasks_.begin(), tasks_.end(),
+                       [&](const auto& item) { return jobs.contains(item.first.task.job); });
+}
+
 world::world(scheduler_options chosen) : options(chosen) {}
 
 scheduler_options world::default_options() {
@@ -169,6 +181,13 @@
     REQUIRE(agent.tasks->recover());
 }
 
+void world::crash_worker(agent_node& agent, milliseconds down_time) {
+    agent.runtime->lose_tasks();
+    agent.is_frozen = true;
+    agent.is_disconnected = true;
+    agent.restarts_at = time.now() + down_time;
+}
+
 void world::set_live(const std::vector<std::size_t>& live) {
     std::vector<entry_info> infos;
     for (const std::size_t index : live) {
@@ -215,6 +234,14 @@
         time.advance(step);
         for (auto& agent : agents) {
             agent->runtime->advance(step);
+            if (agent->restarts_at && time.now() >= *agent->restarts_at) {
+                agent->restarts_at.reset();
+                agent->is_frozen = false;
+                agent->is_disconnected = false;
+                restart_agent(*agent);
+            } else if (agent->runtime->holds_any(crashing_jobs)) {
+                crash_worker(*agent, crash_down_time);
+            }
         }
         for (auto& entry : entries) {
             if (entry->is_frozen) {
@@ -285,6 +312,12 @@
     REQUIRE(rows.commit(transaction).committed);
 }
 
+std::size_t world::starts_of(const std::string& job) const {
+    return static_cast<std::size_t>(
+        std::count_if(record.starts.begin(), record.starts.end(),
+                      [&](const auto& start) { return start.attempt.task.job.value() == job; }));
+}
+
 job_declaration make_job(const std::string& id, std::int64_t processors, milliseconds run_time) {
     job_declaration job;
     job.id = job_id(id);
--- a/libs/scheduling/tests/world.hpp
+++ b/libs/scheduling/tests/world.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -66,6 +67,10 @@
     void throttle(const task_attempt& attempt, std::uint32_t speed_percent) override;
     void stop(const task_attempt& attempt) override;
     void forget(const task_attempt& attempt) override;
+    // The instance has crashed: all its tasks are gone.
+    void lose_tasks();
+    // True if a task of one of the jobs has started.
+    [[nodiscard]] bool holds_any(const std::set<job_id>& jobs) const;
 
     // Each running task fails with the next advance().
     bool fails_all_tasks = false;
@@ -96,6 +101,8 @@
     bool is_frozen = false;
     bool is_disconnected = false;
     bool is_wake_pending = false;
+    // Set while the instance is down after a crash.
+    std::optional<instant> restarts_at;
     // Changes a reply before the agent receives it; false drops the reply.
     std::function<bool(sync_reply&)> reply_filter;
     sync_request last_request;
@@ -117,6 +124,8 @@
     agent_node& add_worker(const std::string& name, std::int64_t processors = 4000,
                            const std::string& domain = "richmond", agent_options chosen = {});
     void restart_agent(agent_node& agent);
+    // The instance loses its agent and all tasks, and is back after `down_time`.
+    void crash_worker(agent_node& agent, milliseconds down_time);
     // Sets the live entries, the same for all entries.
     void set_live(const std::vector<std::size_t>& live);
     // Advances the simulation by `duration` in steps of 100 ms.
@@ -129,12 +138,17 @@
     [[nodiscard]] job_row row_of(const std::string& job);
     // Writes the row domain/<name> as an accepted configuration would.
     void drain_in_table(const std::string& domain);
+    // How many starts of the job's tasks are recorded.
+    [[nodiscard]] std::size_t starts_of(const std::string& job) const;
 
     manual_clock time;
     memory_table rows;
     first_fit_placement strategy;
     run_record record{time};
     scheduler_options options;
+    // Tasks of these jobs crash the worker that starts them.
+    std::set<job_id> crashing_jobs;
+    milliseconds crash_down_time{3'000};
     std::vector<std::unique_ptr<entry_node>> entries;
     std::vector<std::unique_ptr<agent_node>> agents;
 };
