dispatch: one job's occurrences no longer exhaust owner after owner

Cause: only the tasks of one occurrence were limited. The owner holds all tasks of all occurrences, so a job with a repeat count of 4,294,967,295 was accepted, stored, and took the memory of the owner and then of each entry that took over.

Ruled out: other members of a job's row that throw anything but error in decode_job(); the owner logs those rows and goes on.

Change: validate() rejects a job of more than 64,000 tasks over all occurrences, the number that a job without occurrences may have. It runs on submission and when a stored row is read, so that a row of an earlier version is logged and ignored.

--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -83,6 +83,8 @@
 // Limits on a job; they keep a progress row below the store's limit of 64 KiB.
 constexpr std::size_t max_steps = 64;
 constexpr std::uint32_t max_tasks_per_step = 1'000;
+// Over all occurrences; bounds the memory that one job takes from the owner.
+constexpr std::uint64_t max_tasks_per_job = max_steps * max_tasks_per_step;
 
 // Configuration of a queue.
 struct queue_rules {
--- a/libs/dispatch/src/records.cpp
+++ b/libs/dispatch/src/records.cpp
@@ -1,5 +1,6 @@
 // Encodings of task keys, phases and rows of the table service.
 
+#include <algorithm>
 #include <charconv>
 #include <nlohmann/json.hpp>
 
@@ -138,6 +139,14 @@
     for (std::size_t i = 0; i < job.steps.size(); ++i) {
         validate_step(job.steps[i], i);
     }
+    std::uint64_t tasks = 0;
+    for (const auto& step : job.steps) {
+        tasks += std::uint64_t{std::max(1U, job.occurrences)} * step.task_count;
+    }
+    if (tasks > max_tasks_per_job) {
+        reject("a job has at most " + std::to_string(max_tasks_per_job) +
+               " tasks over all its occurrences");
+    }
     if (job.occurrences > 0 && job.interval.count() < 0) {
         reject("the interval of a repeated job is at least 0");
     }
--- a/libs/dispatch/tests/records_test.cpp
+++ b/libs/dispatch/tests/records_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <limits>
+
 #include "coordinator_state.hpp"
 
 using namespace tanagerpaddle;
@@ -76,6 +78,23 @@
     CHECK_THROWS_AS(validate(job), error);
 }
 
+// Guards against one job whose tasks exhaust the memory of owner after owner.
+TEST_CASE("a job has a limited number of tasks over all its occurrences") {
+    job_spec job;
+    job.steps.resize(2);
+    job.steps[0].task_count = max_tasks_per_step;
+    job.steps[1].task_count = max_tasks_per_step;
+    job.occurrences = max_tasks_per_job / (2 * max_tasks_per_step);
+    CHECK_NOTHROW(validate(job));
+    ++job.occurrences;
+    CHECK_THROWS_AS(validate(job), error);
+    job.occurrences = std::numeric_limits<std::uint32_t>::max();
+    CHECK_THROWS_AS(validate(job), error);
+    submitted_job stored = full_job();
+    stored.spec.occurrences = job.occurrences;
+    CHECK_THROWS_AS((void)decode_job(encode_job(stored)), error);
+}
+
 TEST_CASE("task keys are read back as written, and other texts are rejected") {
     const task_key key{job_id("5c0e7a21d94b36f8"), 0, 1, 17};
     CHECK(to_string(key) == "5c0e7a21d94b36f8.0.1.17");
--- a/libs/dispatch_node/tests/malformed_messages_test.cpp
+++ b/libs/dispatch_node/tests/malformed_messages_test.cpp
@@ -5,6 +5,9 @@
 #include <doctest/doctest.h>
 #include <unistd.h>
 
+#include <limits>
+#include <optional>
+
 #include "fake_store.hpp"
 #include "messages.hpp"
 #include "owner_session.hpp"
@@ -126,6 +129,27 @@
     CHECK(f.entry.is_owner());
 }
 
+// Guards against a stored job that ends each owner that loads it, and with it all other jobs.
+TEST_CASE("an owner ignores a stored job with more tasks than it can hold") {
+    fixture f;
+    submitted_job job;
+    job.queue = queue_id("queue");
+    job.rules.service = service_id("service");
+    job.spec.steps.emplace_back();
+    const job_id sound("0123456789abcdef");
+    f.store.put(job_table, part_of(sound), sound.value(), encode_job(job));
+    job.spec.occurrences = std::numeric_limits<std::uint32_t>::max();
+    const job_id endless("0000000000000000");
+    f.store.put(job_table, part_of(endless), endless.value(), encode_job(job));
+    f.run_for(milliseconds(1'500));
+    std::optional<entry_node::lookup> found;
+    f.entry.status(sound, deadline::after(f.time.now(), milliseconds(1'000)),
+                   [&](entry_node::lookup result, job_phase) { found = result; });
+    f.run_for(milliseconds(200));
+    CHECK(found == entry_node::lookup::found);
+    CHECK(f.entry.is_owner());
+}
+
 TEST_CASE("an agent survives malformed messages from an owner and can be claimed again") {
     eventio::event_loop loop;
     system_clock time;
