dispatch: a write of many large rows no longer exceeds one store call

Cause: begin_write() limited the number of rows, not their size. The store accepts 1 MB a call with the rows in base64. A larger write is rejected and repeated as it is, by each owner, and no start that waits for it is sent.

Ruled out: the number of entries, which max_rows_per_write bounds.

Change: begin_write() ends a write before the row that takes it over 700,000 bytes; a single row is written whatever its size.

--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -416,6 +416,8 @@
         // Maximum number of rows in one write; the store accepts 100 entries, one of which is the
         // owner's row.
         std::size_t max_rows_per_write = 90;
+        // Maximum size of the rows of one write; the store accepts 1 MB, with the rows in base64.
+        std::size_t max_bytes_per_write = 700'000;
         filler_rules fillers;
     };
 
--- a/libs/dispatch/src/coordinator.cpp
+++ b/libs/dispatch/src/coordinator.cpp
@@ -363,14 +363,20 @@
     check_invariant(!state_->active_write, "a second write was begun while one is in progress");
     auto& write = state_->active_write.emplace();
     std::vector<progress_row> rows;
+    std::size_t bytes = 0;
     while (!state_->dirty_jobs.empty() && rows.size() < state_->config.max_rows_per_write) {
         auto& job = *state_->find_job(state_->dirty_jobs.front());
+        std::string value = encode_progress(job, state_->instances);
+        bytes += value.size();
+        if (!rows.empty() && bytes > state_->config.max_bytes_per_write) {
+            break;
+        }
         state_->dirty_jobs.pop_front();
         job.is_dirty = false;
         write.phases.emplace_back(job.submitted.id, job.phase);
         write.starts.emplace_back(job.submitted.id, std::move(job.pending_starts));
         job.pending_starts.clear();
-        rows.push_back({job.submitted.id, encode_progress(job, state_->instances)});
+        rows.push_back({job.submitted.id, std::move(value)});
     }
     if (state_->dirty_jobs.empty()) {
         for (std::size_t i = 0; i < state_->instances.size(); ++i) {
