scheduling: an unreadable group row stops no other job

Cause: rescan() decodes all group rows of a shard outside its handler for errors of the table, so that one unreadable row ended each tick of each owner of the partition, and the partitions after it in the same entry got no tick either.

Ruled out: the daemon survives (periodic_thread logs the error and goes on).

Change: such a row is left out of the owner's view and stays in the table.

Measured: unreadable_rows_test failed before with the error of the row; scheduling_test 43 of 43.

--- a/libs/scheduling/src/commits.cpp
+++ b/libs/scheduling/src/commits.cpp
@@ -217,7 +217,11 @@
         if (before != p.groups.end() && before->second.version == row.version) {
             group.row = std::move(before->second.row);
         } else {
-            group.row = decode<group_row>(row.value);
+            try {
+                group.row = decode<group_row>(row.value);
+            } catch (const error&) {
+                continue;  // The row stays in the table; the other groups are scheduled.
+            }
         }
         group.version = row.version;
         groups.emplace_hint(groups.end(), row.key, std::move(group));
