--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -83,6 +83,8 @@
 // Limits on a job; they keep a progress row below the store's limit of 64 KiB.
 constexpr std::size_t max_steps = 64;
 constexpr std::uint32_t max_tasks_per_step = 1'000;
+// Over all occurrences; bounds the memory that one job takes from the owner.
+constexpr std::uint64_t max_tasks_per_job = max_steps * max_tasks_per_step;
 
 // Configuration of a queue.
 struct queue_rules {
@@ -476,6 +478,8 @@
         // Maximum number of rows in one write; the store accepts 100 entries, one of which is the
         // owner's row.
         std::size_t max_rows_per_write = 90;
+        // Maximum size of the rows of one write; the store accepts 1 MB, with the rows in base64.
+        std::size_t max_bytes_per_write = 700'000;
         filler_rules fillers;
         crash_rules crashes;
     };
@@ -497,8 +501,9 @@
     void add_job(const submitted_job& job, milliseconds age);
     // Restores a progress row that an earlier owner wrote; call it after add_job of its job. Tasks
     // that the row places on an instance stay assigned to it until the instance's inventory
-    // resolves their state or `expires_at` has passed. Returns false if the row cannot be read;
-    // such a row is ignored.
+    // resolves their state or `expires_at` has passed. Returns false if the row cannot be read,
+    // which is then ignored, or if it lists a task twice or one that the job does not have: these
+    // entries are ignored.
     bool restore(const job_id& job, std::string_view row, instant expires_at);
     // A job that is added later counts as cancelled as well.
     void cancel_job(const job_id& job);
--- a/libs/dispatch/src/coordinator.cpp
+++ b/libs/dispatch/src/coordinator.cpp
@@ -116,17 +116,23 @@
         state_->mark_started(*job);
         return true;
     }
+    bool is_consistent = true;
     for (const auto& [k, s, i] : record->succeeded) {
-        if (auto* task = state_->find_task({id, k, s, i}); task != nullptr) {
-            task->phase = task_phase::succeeded;
-            ++job->occurrences[k].steps[s].succeeded;
+        auto* task = state_->find_task({id, k, s, i});
+        if (task == nullptr || task->phase == task_phase::succeeded) {
+            is_consistent = false;
+            continue;
         }
+        task->phase = task_phase::succeeded;
+        ++job->occurrences[k].steps[s].succeeded;
     }
     for (const auto& entry : record->histories) {
         const task_key key{id, entry.occurrence, entry.step, entry.index};
         auto* task = state_->find_task(key);
-        if (task == nullptr) {
-            return false;
+        // Each task counts once: its demand, or its success, would be counted twice.
+        if (task == nullptr || task->phase != task_phase::waiting || task->run > run_number(0)) {
+            is_consistent = false;
+            continue;
         }
         task->run = entry.run;
         task->failures = entry.failures;
@@ -151,7 +157,7 @@
     if (!record->succeeded.empty() || !record->histories.empty()) {
         state_->mark_started(*job);
     }
-    return true;
+    return is_consistent;
 }
 
 void coordinator::cancel_job(const job_id& id) {
@@ -384,14 +390,20 @@
     check_invariant(!state_->active_write, "a second write was begun while one is in progress");
     auto& write = state_->active_write.emplace();
     std::vector<progress_row> rows;
+    std::size_t bytes = 0;
     while (!state_->dirty_jobs.empty() && rows.size() < state_->config.max_rows_per_write) {
         auto& job = *state_->find_job(state_->dirty_jobs.front());
+        std::string value = encode_progress(job, state_->instances);
+        bytes += value.size();
+        if (!rows.empty() && bytes > state_->config.max_bytes_per_write) {
+            break;
+        }
         state_->dirty_jobs.pop_front();
         job.is_dirty = false;
         write.phases.emplace_back(job.submitted.id, job.phase);
         write.starts.emplace_back(job.submitted.id, std::move(job.pending_starts));
         job.pending_starts.clear();
-        rows.push_back({job.submitted.id, encode_progress(job, state_->instances)});
+        rows.push_back({job.submitted.id, std::move(value)});
     }
     if (state_->dirty_jobs.empty()) {
         for (std::size_t i = 0; i < state_->instances.size(); ++i) {
