dispatch_node: an expired history is an answer: the next read of the table is not awaited for seconds

Cause: a watch that is answered with "history expired" left the timeout at what the failures before it had made of it. A read that the store then loses is awaited for up to 6.5 s, in which the owner acts on its old list of jobs, and an entry on its old configuration. Ruled out: repeating the read like the watch: it may return the whole table. Change: that answer resets the timeout, as any other does.

--- a/libs/dispatch_node/src/table_watcher.cpp
+++ b/libs/dispatch_node/src/table_watcher.cpp
@@ -119,6 +119,7 @@
         }
         if (result.outcome == store_outcome::history_expired) {
             log_event(log_level::info, "table_history_gone", {{"table", config.table}});
+            answer_slack = min_answer_slack;  // the store answers again
             read_all();
             return;
         }
--- a/libs/dispatch_node/tests/table_watcher_test.cpp
+++ b/libs/dispatch_node/tests/table_watcher_test.cpp
@@ -70,3 +70,22 @@
     f.run_for(milliseconds(9'000));
     CHECK_FALSE(f.keys.empty());
 }
+
+// Guards against an owner that acts on its old list after a silence that has cost the history too.
+TEST_CASE("a read that the store loses after a silence is repeated within 2 s") {
+    fixture f;
+    f.run_for(milliseconds(50));
+    f.store.loses_watches = true;
+    f.run_for(milliseconds(8'000));
+    f.store.loses_watches = false;
+    f.store.has_lost_history = true;
+    f.store.loses_requests = true;
+    f.run_for(milliseconds(2'000));  // the watch is answered with 410, its read is lost
+    f.store.loses_requests = false;
+    f.store.has_lost_history = false;
+    f.store.put("table", "part", "key", "value");
+    const instant returned_at = f.time.now();
+    f.run_for(milliseconds(9'000));
+    REQUIRE(f.keys == std::vector<std::string>{"key"});
+    CHECK(f.changed_at - returned_at < milliseconds(2'000));
+}
