scheduling: tasks of an unreadable group row run on, and the row is reported

Callers would see: work stopped since one row cannot be read, for example by an earlier version. Cause: the row was left out of the owner's view without a trace, and workers are told to stop what the owner does not know. Change: the owner keeps the keys of such rows; their tasks get no order and keep their reports, and a decision "unreadable_row" is recorded once for each.

--- a/libs/scheduling/include/tanagerpaddle/scheduling.hpp
+++ b/libs/scheduling/include/tanagerpaddle/scheduling.hpp
@@ -268,6 +268,7 @@
     move,
     cancellation,
     quarantine,
+    unreadable_row,
 };
 
 [[nodiscard]] std::string_view name(decision_kind kind) noexcept;
--- a/libs/scheduling/src/commits.cpp
+++ b/libs/scheduling/src/commits.cpp
@@ -206,6 +206,7 @@
 
 void scheduler_state::replace_groups(partition_state& p, const std::vector<table_row>& found) {
     std::map<std::string, group_state> groups;
+    std::map<std::string, row_version> unreadable;
     for (const auto& row : found) {
         group_state group;
         const auto before = p.groups.find(row.key);
@@ -219,14 +220,21 @@
         } else {
             try {
                 group.row = decode<group_row>(row.value);
-            } catch (const error&) {
-                continue;  // The row stays in the table; the other groups are scheduled.
+            } catch (const error& failure) {
+                // The row stays in the table; the other groups are scheduled.
+                unreadable[row.key] = row.version;
+                if (!p.unreadable_groups.contains(row.key)) {
+                    record_decision(decision_kind::unreadable_row, p.number, {}, {},
+                                    row.key + ": " + failure.what());
+                }
+                continue;
             }
         }
         group.version = row.version;
         groups.emplace_hint(groups.end(), row.key, std::move(group));
     }
     p.groups = std::move(groups);
+    p.unreadable_groups = std::move(unreadable);
 }
 
 bool scheduler_state::rescan(partition_state& p) {
--- a/libs/scheduling/src/entry_scheduler.cpp
+++ b/libs/scheduling/src/entry_scheduler.cpp
@@ -11,6 +11,11 @@
     return found == p.groups.end() ? nullptr : &found->second;
 }
 
+bool scheduler_state::is_group_unreadable(const partition_state& p, const task_key& task) {
+    return p.unreadable_groups.contains(
+        group_key(p.number, task.job, task.index / tasks_per_group));
+}
+
 const task_record* scheduler_state::find_task(const partition_state& p, const task_key& task) {
     const group_state* group = find_group(p, task);
     const std::uint32_t position = task.index % tasks_per_group;
--- a/libs/scheduling/src/names.cpp
+++ b/libs/scheduling/src/names.cpp
@@ -12,9 +12,10 @@
 }
 
 std::string_view name(decision_kind kind) noexcept {
-    constexpr std::array<std::string_view, 12> names{
-        "takeover", "release",   "ownership_lost", "claim", "void_claim",   "reclaim",
-        "eviction", "task_lost", "task_failed",    "move",  "cancellation", "quarantine"};
+    constexpr std::array<std::string_view, 13> names{
+        "takeover",     "release",    "ownership_lost", "claim",       "void_claim",
+        "reclaim",      "eviction",   "task_lost",      "task_failed", "move",
+        "cancellation", "quarantine", "unreadable_row"};
     return names.at(static_cast<std::size_t>(kind));
 }
 
--- a/libs/scheduling/src/scheduler_state.hpp
+++ b/libs/scheduling/src/scheduler_state.hpp
@@ -99,6 +99,8 @@
     // Another entry changed the shard; the view is incomplete but safe to decide on.
     bool is_stale = false;
     std::map<std::string, group_state> groups;
+    // Rows that cannot be decoded, by version: their tasks run on, and nothing of them is decided.
+    std::map<std::string, row_version> unreadable_groups;
     std::map<worker_id, worker_record> workers;
     std::map<task_attempt, claim_record> claims;
     std::map<task_key, transient_task_state> transient_states;
@@ -154,7 +156,7 @@
     [[nodiscard]] bool add_ended_groups(table_transaction& transaction,
                                         const std::vector<const group_row*>& ended);
     [[nodiscard]] bool rescan(partition_state& p);
-    static void replace_groups(partition_state& p, const std::vector<table_row>& found);
+    void replace_groups(partition_state& p, const std::vector<table_row>& found);
     // As table::read(); records failures of the table.
     [[nodiscard]] std::optional<table_row> read_row(const std::string& key);
     void record_store_failure();
@@ -288,6 +290,7 @@
     // The task's record in the edits, copied there by the first call; nullptr if there is none.
     [[nodiscard]] static task_record* edit_task(const partition_state& p, const task_key& task,
                                                 group_edits& edits);
+    [[nodiscard]] static bool is_group_unreadable(const partition_state& p, const task_key& task);
     [[nodiscard]] static const group_state* find_group(const partition_state& p,
                                                        const task_key& task);
     // The longest time that `duration` on another instance's clock may take on this one's.
--- a/libs/scheduling/src/sync.cpp
+++ b/libs/scheduling/src/sync.cpp
@@ -139,6 +139,10 @@
         if (group && group->is_commit_unresolved) {
             continue;  // No order until the outcome of the commit is known.
         }
+        if (is_group_unreadable(p, task.attempt.task)) {
+            reply.current.push_back(task.attempt);
+            continue;
+        }
         if (holds_attempt(find_task(p, task.attempt.task), task.attempt, request.worker)) {
             reply.current.push_back(task.attempt);
             if (p.evictions.contains(task.attempt)) {
@@ -187,6 +191,9 @@
 
 bool scheduler_state::is_recorded(const partition_state& p, const task_report& report) const {
     const group_state* group = find_group(p, report.attempt.task);
+    if (is_group_unreadable(p, report.attempt.task)) {
+        return false;
+    }
     if (!group) {
         return !p.needs_rescan;  // The job has ended, or the group was moved while pending.
     }
