dispatch: the start of a gang is withdrawn as a whole

Cause: an instance that shrinks, disconnects or drains while the row of a placed gang is written had its member requeued; the others were started. Ruled out: stopping them later: a gang is placed again only when all its members wait. Change: withdraw() requeues all members that were not sent and stops those that were.

--- a/libs/dispatch/src/coordinator.cpp
+++ b/libs/dispatch/src/coordinator.cpp
@@ -234,7 +234,7 @@
     for (const auto& key : keys) {
         auto& task = *state_->find_task(key);
         if (task.phase == task_phase::placed) {
-            state_->requeue(key, task);
+            state_->withdraw(key);
         }
     }
 }
@@ -428,7 +428,7 @@
             }
             if (!instance.executor || instance.executor->incarnation != start.order.incarnation ||
                 instance.executor->is_draining) {
-                state_->requeue(start.order.task, *task);
+                state_->withdraw(start.order.task);
                 continue;
             }
             task->phase = task_phase::starting;
--- a/libs/dispatch/src/coordinator_state.hpp
+++ b/libs/dispatch/src/coordinator_state.hpp
@@ -154,6 +154,7 @@
     void stop_orphaned_run(std::size_t instance, const task_key& key, run_number run);
     void remove_orphaned_run(std::size_t instance, const task_key& key, run_number run);
     void stop_task(const task_key& key, task_state& task);
+    void withdraw(const task_key& key);
     void clear_instance(std::size_t instance);
     // Requeues placed tasks of an instance that is over its capacity until the others fit.
     void requeue_excess_tasks(std::size_t instance);
--- a/libs/dispatch/src/task_lifecycle.cpp
+++ b/libs/dispatch/src/task_lifecycle.cpp
@@ -156,6 +156,19 @@
         "cleared instance still has committed resources: " + to_string(instance.committed));
 }
 
+// Withdraws a start that was not sent; that of a gang with all members, which start together or not
+// at all.
+void coordinator::state::withdraw(const task_key& key) {
+    if (!spec_of(key).is_gang) {
+        stop_task(key, *find_task(key));
+        return;
+    }
+    auto& members = find_job(key.job)->occurrences[key.occurrence].steps[key.step].tasks;
+    for (std::uint32_t i = 0; i < members.size(); ++i) {
+        stop_task({key.job, key.occurrence, key.step, i}, members[i]);
+    }
+}
+
 void coordinator::state::requeue_excess_tasks(std::size_t index) {
     auto& instance = instances[index];
     if (!instance.executor || instance.committed.fits_in(instance.executor->capacity)) {
@@ -180,7 +193,7 @@
         if ((kept + demand).fits_in(capacity)) {
             kept += demand;
         } else {
-            requeue(key, *find_task(key));
+            withdraw(key);
         }
     }
 }
--- a/libs/dispatch/tests/crashing_tasks_test.cpp
+++ b/libs/dispatch/tests/crashing_tasks_test.cpp
@@ -283,3 +283,28 @@
     CHECK((jobs_on.begin()->second == first || jobs_on.rbegin()->second == first));
     CHECK((jobs_on.begin()->second == third || jobs_on.rbegin()->second == third));
 }
+
+// Members that start alone end without the others.
+TEST_CASE("a gang starts as a whole or not at all when a capacity shrinks") {
+    owner_fixture owner;
+    owner.claim("m1");
+    owner.claim("m2");
+    job_shape shape;
+    shape.tasks = 2;
+    shape.millicores_each = 6'000;
+    shape.is_gang = true;
+    shape.run_time = milliseconds(10'000);
+    owner.jobs.add_job(make_job("gang", shape), milliseconds(0));
+    owner.jobs.plan();
+    const auto rows = owner.jobs.begin_write();
+    auto info = executor_of("m1", 1);
+    info.capacity.processors = millicores(1'000);
+    owner.jobs.executor_changed(instance_name("m1"), info);
+    owner.jobs.write_done();
+    for (int s = 0; s < 20; ++s) {
+        owner.time.advance(milliseconds(50));
+        owner.claim("m3");
+        owner.plan();
+    }
+    CHECK(owner.orders.started.size() != 1);
+}
