dispatch: no job fails unless two executors are known to have crashed under its task

Cause: an expired lease, and a run that an earlier owner started, counted as a crash, and three or four such counts failed the job. A run that had lived for a minute cleared its task only at the next crash. Ruled out: counting them for nothing: a crash that only a lease shows must still lead to isolation, or random faults break the limit again. Change: suspected crashes isolate a task; its job fails only with two confirmed ones, that is an end of the executor that was seen, right after a start that it had answered. Each view of an executor clears the tasks that have outlived their start.

--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -419,12 +419,11 @@
     // The same for an executor whose agent could not tell, before the instance's last observation:
     // longer by the age of an observation, a sync of 0.5 s and a heartbeat of 0.3 s.
     milliseconds unobserved_window{1'100};
-    // Crashes of a task's executors after which its job fails, if no run of another job can have
-    // caused the latest crash. The first value applies if each of these runs is known to have
-    // begun.
+    // Crashes of executors that are known to have begun the task after which its job fails, if no
+    // run of another job can have caused the latest one. No job fails after fewer: an executor that
+    // is unreachable, or that another owner has lost, may not have crashed.
     std::uint32_t max_confirmed_crashes = 2;
-    std::uint32_t max_sole_crashes = 3;
-    // Crashes after which the job fails in any case.
+    // Crashes, confirmed or suspected, after which the job fails whoever else is to blame.
     std::uint32_t max_crashes = 4;
     // A task with this many crashes is started apart from others: on an instance where nothing else
     // has started within the suspicion window and nothing else does until the run has outlived it.
--- a/libs/dispatch/src/coordinator_state.hpp
+++ b/libs/dispatch/src/coordinator_state.hpp
@@ -175,6 +175,8 @@
     // True if the executor of the instance had the task so shortly that it may have crashed it.
     [[nodiscard]] bool may_have_crashed(const task_key& key, const task_state& task,
                                         const std::vector<run_age>& ages) const;
+    // Clears the tasks whose runs the executor has had for so long that they did not crash it.
+    void clear_outlived_crashes(const instance_state& instance);
     void record_crash(std::size_t instance, crash_suspects suspects);
     [[nodiscard]] bool needs_isolation(const step_spec& spec, const task_state& task) const;
     void release_isolated_instances();
--- a/libs/dispatch/src/crashes.cpp
+++ b/libs/dispatch/src/crashes.cpp
@@ -8,6 +8,13 @@
 
 namespace tanagerpaddle::dispatch {
 
+namespace {
+
+// Time after the start of a suspect in which a view of its run arrives.
+constexpr milliseconds max_time_to_clear{10'000};
+
+}  // namespace
+
 bool coordinator::state::may_have_crashed(const task_key& key, const task_state& task,
                                           const std::vector<run_age>& ages) const {
     if (!task.occupies_instance() || task.phase == task_phase::placed) {
@@ -96,6 +103,20 @@
     return found;
 }
 
+void coordinator::state::clear_outlived_crashes(const instance_state& instance) {
+    if (instance.listed_at - instance.last_suspect_at > max_time_to_clear) {
+        return;
+    }
+    for (const auto& key : instance.tasks) {
+        auto& task = *find_task(key);
+        if (task.crashes.suspected > 0 && task.has_begun &&
+            instance.listed_at - task.started_at >= config.crashes.unobserved_window) {
+            task.crashes = {};
+            mark_dirty(*find_job(key.job));
+        }
+    }
+}
+
 void coordinator::state::record_crash(std::size_t index, crash_suspects suspects) {
     for (auto& suspect : suspects.tasks) {
         auto& job = *find_job(suspect.task.job);
@@ -103,7 +124,7 @@
         task.crashes.add(suspect.has_begun);
         suspect.crashes = task.crashes.suspected;
         if (!job.is_terminal() &&
-            is_proven(task.crashes, suspects.are_of_one_job, config.crashes)) {
+            must_fail_job(task.crashes, suspects.are_of_one_job, config.crashes)) {
             suspect.has_failed = true;
             finish_job(job, job_phase::failed);
         }
--- a/libs/dispatch/src/crashes.hpp
+++ b/libs/dispatch/src/crashes.hpp
@@ -20,13 +20,12 @@
     }
 };
 
-// True if the task has crashed so many executors that its job must fail. `is_sole_suspect` is true
-// if no run of another job can have caused the latest crash.
-[[nodiscard]] inline bool is_proven(const crash_history& crashes, bool is_sole_suspect,
-                                    const crash_rules& rules) noexcept {
-    return crashes.suspected >= rules.max_crashes ||
-           (is_sole_suspect && (crashes.suspected >= rules.max_sole_crashes ||
-                                crashes.confirmed >= rules.max_confirmed_crashes));
+// True if the job of the task must fail. `is_sole_suspect` is true if no run of another job can
+// have caused the latest crash.
+[[nodiscard]] inline bool must_fail_job(const crash_history& crashes, bool is_sole_suspect,
+                                        const crash_rules& rules) noexcept {
+    return crashes.confirmed >= rules.max_confirmed_crashes &&
+           (is_sole_suspect || crashes.suspected >= rules.max_crashes);
 }
 
 }  // namespace tanagerpaddle::dispatch
--- a/libs/dispatch/src/planning.cpp
+++ b/libs/dispatch/src/planning.cpp
@@ -404,6 +404,7 @@
     instance.observed_at = now;
     if (instance.executor) {
         instance.listed_at = now;
+        clear_outlived_crashes(instance);
     }
 }
 
--- a/libs/dispatch/tests/crashing_tasks_test.cpp
+++ b/libs/dispatch/tests/crashing_tasks_test.cpp
@@ -284,6 +284,52 @@
     CHECK((jobs_on.begin()->second == third || jobs_on.rbegin()->second == third));
 }
 
+// An instance that is cut off has not crashed.
+TEST_CASE("expired leases alone fail no job") {
+    owner_fixture owner;
+    owner.submit("job");
+    for (int i = 1; i <= 4; ++i) {
+        const std::string name = "m" + std::to_string(i);
+        owner.claim(name);
+        owner.plan();
+        owner.time.advance(milliseconds(400));
+        owner.plan();
+        REQUIRE(owner.orders.started.size() == static_cast<std::size_t>(i));
+        owner.confirm_last_start();
+        owner.jobs.instance_disconnected(instance_name(name),
+                                         owner.time.now() + std::chrono::seconds(5));
+        owner.time.advance(std::chrono::seconds(6));
+        owner.plan();
+    }
+    CHECK(name(owner.jobs.status(job_id("job"))->phase) == "running");
+}
+
+TEST_CASE("a run seen alive for a minute clears its task of earlier crashes") {
+    owner_fixture owner;
+    owner.claim("m1");
+    owner.submit("job");
+    owner.confirm_last_start();
+    owner.crash_last(milliseconds(0));
+    owner.plan();
+    owner.confirm_last_start();
+    const auto order = owner.orders.started.back();
+    for (int s = 0; s < 60; ++s) {
+        owner.time.advance(std::chrono::seconds(1));
+        owner.jobs.progress_reported(order.first, {{order.second.task, order.second.run, "", s, 0}},
+                                     {}, true);
+        owner.plan();
+    }
+    owner_fixture second;
+    const job_id id("job");
+    second.jobs.add_job(make_job("job", {1, 1, 1'000, milliseconds(10'000), false}),
+                        milliseconds(0));
+    REQUIRE(
+        second.jobs.restore(id, owner.rows.at(id), second.time.now() + std::chrono::seconds(5)));
+    second.claim("m1", 9);
+    REQUIRE(second.orders.crashes.size() == 1);
+    CHECK(second.orders.crashes[0].suspects[0].crashes == 1);
+}
+
 // Members that start alone end without the others.
 TEST_CASE("a gang starts as a whole or not at all when a capacity shrinks") {
     owner_fixture owner;
