dispatch: a task on an executor that is gone does not wait for it under a new owner

Callers would see: a task that waits without limit (LOST), found by the review: its executor ends for good, the agent reports that to an owner that is about to end, and the next owner finds an agent without an executor. Cause: runs expire only on instances that are not linked. Ruled out: requeueing at once: the agent may have been restarted beside a living executor. Change: an agent without an executor gets no grants, so that its runs expire with the earlier ones; they then start elsewhere.

--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -517,6 +517,9 @@
     void instance_claimed(const instance_name& instance, const inventory& found);
     // The link to the agent is closed. Its runs count as running until `expires_at`.
     void instance_disconnected(const instance_name& instance, instant expires_at);
+    // True if the instance's executor is known. An agent without one must get no grants: the runs
+    // that an earlier owner started there count as ended when the earlier grants expire.
+    [[nodiscard]] bool has_executor(const instance_name& instance) const;
     void executor_changed(const instance_name& instance, const executor_info& info);
     // The executor has crashed or left; none of its runs is alive. `ages` holds the runs that the
     // agent knew of; empty if the agent does not report them.
--- a/libs/dispatch/src/coordinator.cpp
+++ b/libs/dispatch/src/coordinator.cpp
@@ -239,6 +239,11 @@
     }
 }
 
+bool coordinator::has_executor(const instance_name& name) const {
+    const auto index = state_->find_instance(name);
+    return index && state_->instances[*index].executor;
+}
+
 void coordinator::executor_changed(const instance_name& name, const executor_info& info) {
     const auto index = state_->instance_index(name);
     auto& instance = state_->instances[index];
--- a/libs/dispatch/src/planning.cpp
+++ b/libs/dispatch/src/planning.cpp
@@ -111,7 +111,8 @@
     const instant now = time.now();
     for (std::size_t i = 0; i < instances.size(); ++i) {
         auto& instance = instances[i];
-        if (!instance.is_linked && now >= instance.expires_at &&
+        const bool has_grants = instance.is_linked && instance.executor;
+        if (!has_grants && now >= instance.expires_at &&
             (!instance.tasks.empty() || !instance.orphaned_runs.empty())) {
             remove_unreachable_executor(i);
         }
--- a/libs/dispatch/tests/crashing_tasks_test.cpp
+++ b/libs/dispatch/tests/crashing_tasks_test.cpp
@@ -354,3 +354,24 @@
     }
     CHECK(owner.orders.started.size() != 1);
 }
+
+// The agent has told only the earlier owner that the executor has gone.
+TEST_CASE("a task that an earlier owner started on an executor that is gone starts elsewhere") {
+    owner_fixture first;
+    first.claim("m1");
+    first.submit("job");
+    first.confirm_last_start();
+    owner_fixture second;
+    const job_id id("job");
+    second.jobs.add_job(make_job("job", {1, 1, 1'000, milliseconds(10'000), false}),
+                        milliseconds(0));
+    REQUIRE(
+        second.jobs.restore(id, first.rows.at(id), second.time.now() + std::chrono::seconds(5)));
+    second.jobs.instance_claimed(instance_name("m1"), {});  // its executor has gone for good
+    for (int s = 0; s < 10; ++s) {
+        second.time.advance(std::chrono::seconds(1));
+        second.claim("m2");
+        second.plan();
+    }
+    CHECK(second.orders.started.size() == 1);
+}
--- a/libs/dispatch/tests/world.cpp
+++ b/libs/dispatch/tests/world.cpp
@@ -645,7 +645,8 @@
     if (!instance.is_linked) {
         link(instance);
     }
-    if (instance.is_linked && time.now() >= instance.held_until) {
+    if (instance.is_linked && jobs->has_executor(instance.name) &&
+        time.now() >= instance.held_until) {
         instance.last_grant = time.now();
         instance.core->lease_granted(time.now() + timing.lease_duration);
     }
--- a/libs/dispatch_node/src/owner_links.cpp
+++ b/libs/dispatch_node/src/owner_links.cpp
@@ -204,7 +204,7 @@
     agent.view_count = view_count;
     coordinator_.progress_reported(instance, running, messages::decode_sample(message.at("sample")),
                                    has_new_view);
-    if (may_grant()) {
+    if (may_grant() && coordinator_.has_executor(instance)) {
         agent.runs_end_by = env_.time->now() + env_.timing.expiry_delay();
         send(instance, {{"t", "grant"}, {"at", message.at("at")}});
     }
