rpc: a refusal reaches a caller that is still sending its request

The server answered a connection beyond its bound, discarded what had arrived and closed it. Header and body are two writes of the client; when the body came after the close, the connection was reset and the call ended as a failed write, "outcome unknown", though nothing had run. Ruled out: the order of accepted connections and a reused port (refused_connections() was 1 in the failed run, and the other check of the same call passed). Change: a refused connection is kept open until its caller closes it, for a second at most. One thread polls them, so that a caller which never closes delays no other refusal.

--- a/libs/rpc/src/http_server.cpp
+++ b/libs/rpc/src/http_server.cpp
@@ -11,6 +11,7 @@
 #include <deque>
 #include <thread>
 
+#include "refused_connections.hpp"
 #include "tanagerpaddle/rpc.hpp"
 
 namespace tanagerpaddle {
@@ -20,38 +21,36 @@
 // Connections in the kernel's queue; cpp-httplib asks for 5, which a burst of callers exceeds.
 constexpr int listen_backlog = 1'024;
 
-// True in the thread that answers connections beyond the bound.
+// True while a connection beyond the bound is passed on to be refused.
 thread_local bool is_refusing = false;
 
-// One thread for each connection up to the bound, started when first needed; one more thread
-// refuses the others, so that they get an answer at once however long the served ones last.
+// One thread for each connection up to the bound, started when first needed. Connections beyond it
+// are refused at once, however long the served ones last.
 class bounded_connections final : public httplib::TaskQueue {
 public:
     bounded_connections(std::size_t bound, std::atomic<std::uint64_t>& refused)
-        : bound_(bound), refused_(refused) {
-        threads_.emplace_back([this] {
-            is_refusing = true;
-            run(overflow_);
-        });
-    }
+        : bound_(bound), refused_(refused) {}
 
     void enqueue(std::function<void()> serve) override {
-        const std::lock_guard lock(mutex_);
+        std::unique_lock lock(mutex_);
         if (open_ >= bound_) {
+            lock.unlock();
             refused_.fetch_add(1, std::memory_order_relaxed);
-            overflow_.push_back(std::move(serve));
-        } else {
-            ++open_;
-            if (threads_.size() <= open_) {
-                threads_.emplace_back([this] { run(served_); });
-            }
-            served_.push_back([this, serve = std::move(serve)] {
-                serve();
-                const std::lock_guard guard(mutex_);
-                --open_;
-            });
+            is_refusing = true;
+            serve();
+            is_refusing = false;
+            return;
         }
-        changed_.notify_all();
+        ++open_;
+        if (threads_.size() < open_) {
+            threads_.emplace_back([this] { run(); });
+        }
+        waiting_.push_back([this, serve = std::move(serve)] {
+            serve();
+            const std::lock_guard guard(mutex_);
+            --open_;
+        });
+        changed_.notify_one();
     }
 
     void shutdown() override {
@@ -66,15 +65,15 @@
     }
 
 private:
-    void run(std::deque<std::function<void()>>& queue) {
+    void run() {
         std::unique_lock lock(mutex_);
         while (true) {
-            changed_.wait(lock, [&] { return !queue.empty() || is_stopping_; });
-            if (queue.empty()) {
+            changed_.wait(lock, [&] { return !waiting_.empty() || is_stopping_; });
+            if (waiting_.empty()) {
                 return;
             }
-            const auto serve = std::move(queue.front());
-            queue.pop_front();
+            const auto serve = std::move(waiting_.front());
+            waiting_.pop_front();
             lock.unlock();
             serve();
             lock.lock();
@@ -85,8 +84,7 @@
     std::atomic<std::uint64_t>& refused_;
     std::mutex mutex_;
     std::condition_variable changed_;
-    std::deque<std::function<void()>> served_;
-    std::deque<std::function<void()>> overflow_;
+    std::deque<std::function<void()>> waiting_;
     std::size_t open_ = 0;
     bool is_stopping_ = false;
     std::vector<std::thread> threads_;
@@ -186,13 +184,13 @@
     bool process_and_close_socket(socket_t sock) override;
     // Answers requests until the connection is idle too long, closed or asked to close.
     void serve(socket_t sock);
-    static void refuse(socket_t sock);
 
     milliseconds idle_timeout_;
     milliseconds read_timeout_;
     system_clock time_;
     std::atomic<bool> is_draining_{false};
     std::atomic<std::uint64_t> refused_{0};
+    refused_connections refusals_;
 };
 
 void refusing_server::serve(socket_t sock) {
@@ -216,30 +214,13 @@
 
 bool refusing_server::process_and_close_socket(socket_t sock) {
     if (is_refusing) {
-        refuse(sock);
+        refusals_.add(sock);
     } else {
         serve(sock);
     }
     return true;
 }
 
-void refusing_server::refuse(socket_t sock) {
-    const http_response refusal =
-        error_response(result_code::too_many_connections, "too many connections");
-    const std::string text = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n" +
-                             std::string("Content-Type: application/json\r\n") +
-                             header_name::result + ": " + refusal.header(header_name::result) +
-                             "\r\nContent-Length: " + std::to_string(refusal.body.size()) +
-                             "\r\n\r\n" + refusal.body;
-    ::send(sock, text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
-    ::shutdown(sock, SHUT_WR);
-    // Closing with unread bytes would reset the connection and drop the answer.
-    std::array<char, 4096> unread{};
-    while (::recv(sock, unread.data(), unread.size(), MSG_DONTWAIT) > 0) {
-    }
-    ::close(sock);
-}
-
 http_request to_request(const httplib::Request& from) {
     http_request request;
     request.method = from.method;
--- a/libs/rpc/tests/http_server_test.cpp
+++ b/libs/rpc/tests/http_server_test.cpp
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <list>
 #include <thread>
 
 #include "tanagerpaddle/rpc.hpp"
@@ -66,6 +67,44 @@
     CHECK(server.refused_connections() == 1);
 }
 
+// A refused connection that is closed while its request is still arriving is reset, and the caller
+// sees a failed write in place of the refusal.
+TEST_CASE("a refusal reaches a caller that is still sending its request") {
+    system_clock time;
+    http_server server({.listen = {"127.0.0.1", 0}, .connections = 1});
+    server.route("POST", "/echo", [](const http_request& request) { return echo(request); });
+    server.start();
+    const silent_connection first(server.port());
+    std::this_thread::sleep_for(milliseconds(50));
+    http_client_pool connections(time, 4);
+    for (int i = 0; i < 20; ++i) {
+        const auto result = connections.call(make_call(server, time, std::string(1'000'000, 'x')));
+        CAPTURE(i);
+        CAPTURE(result.message);
+        CHECK(result.failure == http_failure::none);
+        CHECK(result.response.header(header_name::result) == "206");
+    }
+}
+
+// Refused connections that are kept open until their callers have read the answer must not delay
+// the refusals after them.
+TEST_CASE("a refused caller that never closes its connection delays no other refusal") {
+    system_clock time;
+    http_server server({.listen = {"127.0.0.1", 0}, .connections = 1});
+    server.route("POST", "/echo", [](const http_request& request) { return echo(request); });
+    server.start();
+    std::list<silent_connection> silent;
+    for (int i = 0; i < 50; ++i) {
+        silent.emplace_back(server.port());
+    }
+    http_client_pool connections(time, 4);
+    const instant started = time.now();
+    CHECK(connections.call(make_call(server, time, "x")).response.status == 503);
+    CHECK(time.now() - started < std::chrono::seconds(1));
+    server.stop();
+    CHECK(time.now() - started < std::chrono::seconds(1));
+}
+
 TEST_CASE("a body beyond the limit is refused with its numbered code") {
     system_clock time;
     http_server server({.listen = {"127.0.0.1", 0}, .max_body_bytes = 1000});
