eventio: a rejection reaches a caller that is still sending its request

The caller saw a failed write and could not know that its request had been rejected. Change: after the last response the server reads until the caller closes, for a second at most.

--- a/libs/eventio/src/http_server.cpp
+++ b/libs/eventio/src/http_server.cpp
@@ -33,6 +33,11 @@
 
 namespace {
 
+// How long a connection is kept open after its last response. Closing it while request bytes are
+// still arriving resets it, and the caller sees a failed write in place of the response.
+constexpr milliseconds linger_time{1'000};
+constexpr std::size_t discard_size = 16'384;
+
 milliseconds parse_timeout(std::string_view text) {
     std::int64_t value = 0;
     const char* end = text.data() + text.size();
@@ -131,11 +136,24 @@
         if (response_.need_eof()) {
             error_code ignored;  // the peer may have closed first
             stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
+            stream_.expires_after(linger_time);
+            discard_input();
             return;
         }
         read();
     }
 
+    // Reads until the peer closes the connection or the linger time is over.
+    void discard_input() {
+        buffer_.clear();
+        stream_.async_read_some(buffer_.prepare(discard_size),
+                                [self = this->shared_from_this()](error_code failure, std::size_t) {
+                                    if (!failure) {
+                                        self->discard_input();
+                                    }
+                                });
+    }
+
     std::shared_ptr<State> server_;
     beast::tcp_stream stream_;
     beast::flat_buffer buffer_;
--- a/libs/eventio/tests/http_test.cpp
+++ b/libs/eventio/tests/http_test.cpp
@@ -138,6 +138,31 @@
     run_until(loop, done);
 }
 
+// A connection that is closed while its request is still arriving is reset, and the caller sees a
+// failed write in place of the response.
+TEST_CASE("a rejection reaches a caller that is still sending its request") {
+    event_loop loop;
+    http_server_options options;
+    options.max_body_bytes = 100;
+    http_server server(loop, local_endpoint(6), options,
+                       [](const http_request&, const http_responder& respond) { respond({}); });
+    http_client client(loop, local_endpoint(6), 20);
+    std::vector<http_result> results;
+    bool done = false;
+    for (int i = 0; i < 20; ++i) {
+        client.call({"POST", "/", std::string(8'000'000, 'x'), {}}, milliseconds(3'000),
+                    [&](const http_result& result) {
+                        results.push_back(result);
+                        done = results.size() == 20;
+                    });
+    }
+    run_until(loop, done);
+    for (const auto& result : results) {
+        CHECK(result.outcome == call_outcome::answered);
+        CHECK(result.status == 413);
+    }
+}
+
 TEST_CASE("messages arrive in order in both directions, and a close by the peer is reported") {
     event_loop loop;
     std::shared_ptr<message_link> accepted_link;
