--- a/libs/dispatch/src/task_lifecycle.cpp
+++ b/libs/dispatch/src/task_lifecycle.cpp
@@ -145,7 +145,12 @@
     auto& instance = instances[index];
     const std::vector<task_key> keys(instance.tasks.begin(), instance.tasks.end());
     for (const auto& key : keys) {
-        requeue(key, *find_task(key));
+        auto& task = *find_task(key);
+        if (task.phase == task_phase::placed) {
+            withdraw(key);
+        } else if (task.instance == index) {
+            requeue(key, task);
+        }
     }
     for (const auto& [id, demand] : instance.orphaned_runs) {
         instance.committed -= demand;
