dispatch: a job counts as queued until a run of it is known to have begun

The owner marked a job as started when it sent a start, and never took it back. With lost answers and orders that are carried out late, jobs wait for seconds after starts that came to nothing. Change: a job is marked when a start of it is confirmed, or when a run of it is listed or has ended. A job that a new owner restores with a run in its row still counts as started.

--- a/libs/dispatch/src/coordinator.cpp
+++ b/libs/dispatch/src/coordinator.cpp
@@ -48,6 +48,11 @@
     }
 }
 
+void coordinator::state::mark_begun(const task_key& key, task_state& task) {
+    task.has_begun = true;
+    mark_started(*find_job(key.job));
+}
+
 void coordinator::state::mark_started(job_state& job) {
     if (!job.has_started) {
         job.has_started = true;
@@ -281,7 +286,7 @@
         return;
     }
     if (outcome == start_outcome::started) {
-        task->has_begun = true;
+        state_->mark_begun(key, *task);
         if (task->phase == task_phase::starting) {
             task->phase = task_phase::running;
             task->phase_since = state_->time.now();
@@ -345,7 +350,7 @@
         if (task == nullptr || task->instance != index || task->run != run.run) {
             continue;
         }
-        task->has_begun = true;
+        state_->mark_begun(run.task, *task);
         if (!run.checkpoint.empty()) {
             task->checkpoint = run.checkpoint;
             task->checkpointed_at = state_->time.now();
@@ -424,7 +429,7 @@
     for (const auto& [id, phase] : write.phases) {
         state_->find_job(id)->durable_phase = phase;
     }
-    for (auto& [id, starts] : write.starts) {
+    for (auto& [job, starts] : write.starts) {
         for (auto& start : starts) {
             auto* task = state_->find_task(start.order.task);
             auto& instance = state_->instances[start.instance];
@@ -440,7 +445,6 @@
             task->phase_since = state_->time.now();
             task->started_at = task->phase_since;
             instance.last_start_at = task->phase_since;
-            state_->mark_started(*state_->find_job(id));
             // It may have changed since the placement and still suffice.
             start.order.capacity = instance.executor->capacity;
             state_->orders.start(instance.name, start.order);
--- a/libs/dispatch/src/coordinator_state.hpp
+++ b/libs/dispatch/src/coordinator_state.hpp
@@ -144,6 +144,8 @@
     task_state* find_task(const task_key& key);
     [[nodiscard]] const step_spec& spec_of(const task_key& key) const;
     void mark_dirty(job_state& job);
+    // A run of the task is known to have begun, and so has its job.
+    void mark_begun(const task_key& key, task_state& task);
     // The job has started or reached a terminal phase: it no longer counts as queued.
     void mark_started(job_state& job);
 
--- a/libs/dispatch/src/task_lifecycle.cpp
+++ b/libs/dispatch/src/task_lifecycle.cpp
@@ -332,7 +332,7 @@
             !find_job(key.job)->is_terminal() && task.phase != task_phase::stopping;
         if (present.count(key) != 0 && is_wanted) {
             task.phase = task_phase::running;
-            task.has_begun = true;
+            mark_begun(key, task);
             task.progressed_at = time.now();
             orders.send_traits(instances[index].name, key, traits_of(spec_of(key)));
             continue;
