scheduling: a write whose answer was lost cannot take effect after its groups were read again

Cause: a task ran in two places (soak). An owner's write that requeues the task of a silent worker gets no answer, and the owner reads the shard again. The write has not taken effect yet, so the task still counts as running; the agent resumes and is granted a lease. 3.3 s later the store carries the write out, the owner places the task on another worker, and both run it. The write's condition, the version of the partition row, still held. Ruled out: a second owner (its takeover changes the partition row) and the agent, whose lease was valid. Change: if the groups of a write of unknown outcome are found unchanged, the owner writes its partition row before it acts on them: the earlier write then fails its condition.

--- a/libs/scheduling/src/commits.cpp
+++ b/libs/scheduling/src/commits.cpp
@@ -237,6 +237,37 @@
     p.unreadable_groups = std::move(unreadable);
 }
 
+// A write whose answer is missing may take effect after its groups have been read without it. Until
+// then their tasks would be granted leases that it revokes. A new version of the partition row, on
+// which each write of the owner is conditional, rules that out.
+bool scheduler_state::invalidate_unresolved_write(partition_state& p,
+                                                  const std::vector<table_row>& found) {
+    table_transaction transaction;
+    for (const auto& row : found) {
+        const auto group = p.groups.find(row.key);
+        if (group != p.groups.end() && group->second.is_commit_unresolved &&
+            group->second.version == row.version) {
+            transaction.conditions.push_back({row.key, row.version});
+        }
+    }
+    if (transaction.conditions.empty() || !options.mechanisms.condition_on_epoch) {
+        return true;
+    }
+    const instant sent_at = now();
+    add_owner_condition(p, transaction);
+    transaction.puts.push_back(
+        {partition_key(p.number), encode(partition_row{self.id, self.incarnation, p.epoch,
+                                                       options.horizon.count(), false})});
+    const commit_attempt result =
+        try_commit(transaction, write_class::urgent, counts.partition_rows);
+    if (result.outcome != commit_outcome::committed) {
+        return false;
+    }
+    p.version = result.version;
+    p.horizon_end = sent_at + options.horizon;
+    return true;
+}
+
 bool scheduler_state::rescan(partition_state& p) {
     std::vector<table_row> found;
     try {
@@ -257,6 +288,9 @@
         record_store_failure();
         return false;
     }
+    if (!invalidate_unresolved_write(p, found)) {
+        return false;
+    }
     replace_groups(p, found);
     p.is_loaded = true;
     p.needs_rescan = false;
--- a/libs/scheduling/src/scheduler_state.hpp
+++ b/libs/scheduling/src/scheduler_state.hpp
@@ -156,6 +156,9 @@
     [[nodiscard]] bool add_ended_groups(table_transaction& transaction,
                                         const std::vector<const group_row*>& ended);
     [[nodiscard]] bool rescan(partition_state& p);
+    // Returns false while a write of unknown outcome may still change groups of `found`.
+    [[nodiscard]] bool invalidate_unresolved_write(partition_state& p,
+                                                   const std::vector<table_row>& found);
     void replace_groups(partition_state& p, const std::vector<table_row>& found);
     // As table::read(); records failures of the table.
     [[nodiscard]] std::optional<table_row> read_row(const std::string& key);
