dispatch: a run that a heartbeat lists and the owner does not expect is stopped

Cause: A run that an executor listed and that was not the current run of its task was stopped only when the owner read an inventory, that is with the next claim of its agent. If it appeared in a heartbeat it ran on: work that nobody had asked for, also of a cancelled job or beside the task's current run, and its room counted as free. By reading, an agent reports ends, confirmed stops and refusals before the heartbeat that follows them, on one connection, so a report is no older than what the owner expects; such a run needs an executor that carries out a start after that.

Change: progress_reported stops a run that is not the task's current one on that instance, and counts its room until the stop is confirmed. Runs whose start is not answered, whose stop is ordered, and members of a gang that has succeeded are left alone, as are reports of an instance without a link or an executor.

--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -533,7 +533,7 @@
                        const std::vector<finished_task>& completions);
     // Tasks whose progress changed, and the executor's latest sample. `has_new_view` is false if
     // the agent has not read its executor's lists since its previous report: the progress of the
-    // other tasks is then unknown, not zero.
+    // other tasks is then unknown, not zero. A run that the coordinator does not expect is stopped.
     void progress_reported(const instance_name& instance, const std::vector<running_task>& running,
                            const interference_sample& sample, bool has_new_view = true);
     // Interference estimated from the samples of all instances.
--- a/libs/dispatch/src/coordinator.cpp
+++ b/libs/dispatch/src/coordinator.cpp
@@ -341,10 +341,11 @@
     instance.sample = sample;
     state_->interference.observe(name.value(), state_->time.now(), sample);
     for (const auto& run : running) {
-        auto* task = state_->find_task(run.task);
-        if (task == nullptr || task->instance != index || task->run != run.run) {
+        if (!state_->is_expected(*index, run.task, run.run)) {
+            state_->stop_unexpected_run(*index, run.task, run.run);
             continue;
         }
+        auto* task = state_->find_task(run.task);
         task->has_begun = true;
         if (!run.checkpoint.empty()) {
             task->checkpoint = run.checkpoint;
--- a/libs/dispatch/src/coordinator_state.hpp
+++ b/libs/dispatch/src/coordinator_state.hpp
@@ -151,6 +151,11 @@
     void assign(const task_key& key, task_state& task, std::size_t instance);
     void unassign(const task_key& key, task_state& task);
     void requeue(const task_key& key, task_state& task);
+    // True if the run is the task's current one, and on this instance.
+    [[nodiscard]] bool is_expected(std::size_t instance, const task_key& key, run_number run);
+    // Stops a run that a report lists. Runs that are to exit, or whose stop was ordered before, are
+    // left to that.
+    void stop_unexpected_run(std::size_t instance, const task_key& key, run_number run);
     void stop_orphaned_run(std::size_t instance, const task_key& key, run_number run);
     void remove_orphaned_run(std::size_t instance, const task_key& key, run_number run);
     void stop_task(const task_key& key, task_state& task);
--- a/libs/dispatch/src/task_lifecycle.cpp
+++ b/libs/dispatch/src/task_lifecycle.cpp
@@ -97,6 +97,25 @@
     }
 }
 
+bool coordinator::state::is_expected(std::size_t index, const task_key& key, run_number run) {
+    const auto* task = find_task(key);
+    return task != nullptr && task->instance == index && task->run == run &&
+           task->occupies_instance();
+}
+
+// An agent reports what it has learned in the order in which it learned it: a run is listed after
+// its end, its stop or its refusal was reported only if the executor carried out a start after all.
+void coordinator::state::stop_unexpected_run(std::size_t index, const task_key& key,
+                                             run_number run) {
+    const auto& instance = instances[index];
+    // Without an executor the report precedes the inventory, which resolves its runs.
+    if (!instance.is_linked || !instance.executor ||
+        instance.orphaned_runs.count(std::pair(key, run)) != 0) {
+        return;
+    }
+    stop_orphaned_run(index, key, run);
+}
+
 void coordinator::state::stop_orphaned_run(std::size_t index, const task_key& key, run_number run) {
     auto& instance = instances[index];
     const auto id = std::pair(key, run);
@@ -308,10 +327,7 @@
 void coordinator::state::reconcile(std::size_t index, const inventory& found) {
     std::map<task_key, run_number> present;
     for (const auto& run : found.running) {
-        const auto* task = find_task(run.task);
-        const bool is_expected = task != nullptr && task->instance == index &&
-                                 task->run == run.run && task->occupies_instance();
-        if (is_expected) {
+        if (is_expected(index, run.task, run.run)) {
             present[run.task] = run.run;
         } else {
             stop_orphaned_run(index, run.task, run.run);
