dispatch: a confirmed stop is repeated if the run stays listed

Cause: An agent repeats a stop until the executor has confirmed it, and then waits for a list without the run, however long. A run on which the confirmed stop had no effect would stay for good: its task keeps "stopping", and a cancelled job runs on.

Change: a stop is sent again, and awaits its confirmation anew, once a list that was requested 1 s or more after the confirmation still has the run. Lists that were requested before are not counted, and those of another claim or incarnation are not accepted as before.

--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -698,6 +698,7 @@
     [[nodiscard]] bool accepts_starts() const;
     // True if the executor's capacity is smaller than the one that the order was sent by.
     [[nodiscard]] bool has_shrunk_since(const start_order& order) const;
+    void send_stop(const run_key& key, order_state& state);
     void withdraw_start(const run_key& key);
     void resolve_starts(const executor_view& view);
     void resolve_stops(const executor_view& view);
--- a/libs/dispatch/src/agent.cpp
+++ b/libs/dispatch/src/agent.cpp
@@ -11,6 +11,9 @@
 // more attempts would keep the capacity of an unresponsive executor committed.
 constexpr int max_start_attempts = 3;
 constexpr milliseconds stop_retry_interval{200};
+// An executor takes at most 0.9 s to end a run whose stop it has confirmed. A run that it lists
+// later was not affected by the stop.
+constexpr milliseconds max_stop_time{1'000};
 // Smaller changes of the pace do not justify a call to the executor.
 constexpr int min_pace_change_percent = 8;
 
@@ -102,11 +105,16 @@
     const auto [position, is_new] = pending_stops_.try_emplace(key);
     position->second.is_withdrawal = false;
     if (is_new) {
-        position->second.sent_at = time_.now();
-        orders_.call_stop(task, run, epoch_);
+        send_stop(key, position->second);
     }
 }
 
+void agent::send_stop(const run_key& key, order_state& state) {
+    state.sent_at = time_.now();
+    state.confirmed_at.reset();
+    orders_.call_stop(key.first, key.second, epoch_);
+}
+
 void agent::acknowledge(executor_incarnation incarnation, completion_number number) {
     if (!executor_ || executor_->incarnation != incarnation || number <= acknowledged_completion_) {
         return;
@@ -225,9 +233,14 @@
             position = pending_stops_.erase(position);  // reported as a completion
             continue;
         }
-        const bool is_resolved = state.confirmed_at && *state.confirmed_at <= view.requested_at &&
-                                 !contains(view.running, key);
-        if (!is_resolved) {
+        if (!state.confirmed_at || view.requested_at < *state.confirmed_at) {
+            ++position;
+            continue;
+        }
+        if (contains(view.running, key)) {
+            if (view.requested_at - *state.confirmed_at >= max_stop_time) {
+                send_stop(key, position->second);
+            }
             ++position;
             continue;
         }
@@ -312,8 +325,7 @@
     pending_starts_.erase(key);
     auto& state = pending_stops_[key];
     state.is_withdrawal = true;
-    state.sent_at = time_.now();
-    orders_.call_stop(key.first, key.second, epoch_);
+    send_stop(key, state);
 }
 
 void agent::stop_answered(const task_key& task, run_number run, bool is_confirmed) {
@@ -327,8 +339,7 @@
     const instant now = time_.now();
     for (auto& [key, state] : pending_stops_) {
         if (!state.confirmed_at && now - state.sent_at >= stop_retry_interval) {
-            state.sent_at = now;
-            orders_.call_stop(key.first, key.second, epoch_);
+            send_stop(key, state);
         }
     }
 }
--- a/libs/dispatch/tests/agent_test.cpp
+++ b/libs/dispatch/tests/agent_test.cpp
@@ -260,3 +260,42 @@
     CHECK(f.orders.ages_at_end[1].task == task);
     CHECK(f.orders.ages_at_end[1].age == milliseconds(400));
 }
+
+// Guards against a run that stays although its stop was confirmed: the executor may have answered
+// before it carried out the start.
+TEST_CASE("a stop is repeated if the run is still listed a second after its confirmation") {
+    fixture f;
+    f.core.stop(task, first_run, epoch);
+    f.core.stop_answered(task, first_run, true);
+    f.time.advance(milliseconds(900));  // the run may take that long to end
+    f.deliver_view({{task, first_run, "", 10, 0}}, {});
+    CHECK(f.orders.stops == 1);
+    f.time.advance(milliseconds(200));
+    f.deliver_view({{task, first_run, "", 10, 0}}, {});
+    CHECK(f.orders.stops == 2);
+    // The repeated stop is confirmed and resolved like the first.
+    f.time.advance(milliseconds(250));
+    f.core.tick();
+    CHECK(f.orders.stops == 3);
+    f.core.stop_answered(task, first_run, true);
+    f.time.advance(milliseconds(10));
+    f.deliver_view({{task, first_run, "", 10, 0}}, {});
+    CHECK(f.orders.stops == 3);
+    CHECK(f.orders.stops_reported == 0);
+    f.deliver_view({}, {});
+    CHECK(f.orders.stops_reported == 1);
+}
+
+TEST_CASE("a list that was requested before the confirmation does not repeat the stop") {
+    fixture f;
+    executor_view old;
+    old.incarnation = executor_incarnation(1);
+    old.requested_at = f.time.now();
+    old.epoch = epoch;
+    old.running = {{task, first_run, "", 10, 0}};
+    f.core.stop(task, first_run, epoch);
+    f.core.stop_answered(task, first_run, true);
+    f.time.advance(milliseconds(2'000));
+    f.core.executor_view_received(old);
+    CHECK(f.orders.stops == 1);
+}
