dispatch_node: a heartbeat lists each new run, also one with the progress of its predecessor

Cause: A heartbeat leaves out tasks whose checkpoint and percentage have not changed, and compared them by task: a run that replaced another one of its task between two heartbeats, with the same progress, was never listed.

Change: progress is compared by run.

Result: heartbeat_test failed before (listed "1 " instead of "1 2 ") and passes now; dispatch_node_test as a whole: all 35 cases passed.

--- a/libs/dispatch_node/src/agent_node.cpp
+++ b/libs/dispatch_node/src/agent_node.cpp
@@ -29,6 +29,9 @@
 }  // namespace
 
 struct agent_node::state : agent_orders, std::enable_shared_from_this<agent_node::state> {
+    // Checkpoint and percentage of each run.
+    using run_progress = std::map<std::pair<task_key, run_number>, std::pair<std::string, int>>;
+
     state(eventio::event_loop& io_loop, const clock& node_clock, row_store& table_store,
           executor_control& executor_client, agent_options node_options)
         : loop(io_loop),
@@ -164,14 +167,15 @@
 
     void send_heartbeat() {
         json running = json::array();
-        std::map<task_key, std::pair<std::string, int>> current_progress;
+        run_progress current_progress;
         for (const auto& run : core.current_inventory().running) {
             const auto progress = std::pair(run.checkpoint, run.percent);
-            const auto reported = reported_progress.find(run.task);
+            const auto key = std::pair(run.task, run.run);
+            const auto reported = reported_progress.find(key);
             if (reported == reported_progress.end() || reported->second != progress) {
                 running.push_back(messages::encode(run));
             }
-            current_progress[run.task] = progress;
+            current_progress[key] = progress;
         }
         reported_progress = std::move(current_progress);
         send({{"t", "beat"},
@@ -318,8 +322,8 @@
     std::shared_ptr<eventio::message_link> link;
     // Links whose peer has not claimed this agent yet.
     std::vector<std::shared_ptr<eventio::message_link>> pending;
-    // Checkpoint and percentage of each running task in the newest heartbeat.
-    std::map<task_key, std::pair<std::string, int>> reported_progress;
+    // Progress in the newest heartbeat.
+    run_progress reported_progress;
     std::int64_t executor_clock_ms = 0;
     instant executor_clock_read_at;
     bool has_executor_clock = false;
