dispatch_node: the read of a table that the store may have lost is repeated before its timeout

Cause: A table whose history has expired is read again before it is watched. If the store was silent then, each lost read made the next one wait longer, up to 6.5 s, and the read sent just before the store's return was awaited to the end: the process acted on its old rows meanwhile. That holds for all watched tables: the jobs and agents of the owner, and the configuration and evacuations of each entry.

Change: reads are repeated every 1.6 s after a failure, as watches are, and the first answer counts.

--- a/libs/dispatch_node/src/table_watcher.cpp
+++ b/libs/dispatch_node/src/table_watcher.cpp
@@ -14,6 +14,8 @@
 constexpr milliseconds min_answer_slack{600};
 constexpr milliseconds max_answer_slack{5'000};
 constexpr milliseconds read_timeout{1'500};
+// Interval at which a call without an answer is repeated after failures.
+constexpr milliseconds repeat_interval = max_watch_wait + min_answer_slack;
 constexpr milliseconds retry_delay{100};
 
 }  // namespace
@@ -43,18 +45,35 @@
             }
             return;
         }
+        begin_round();
+        call_read(index, from);
+    }
+
+    void call_read(std::size_t index, const std::string& from) {
+        ++unanswered;
         const instant request_sent_at = time.now();
         store.read(config.table, config.parts[index], from, "", read_timeout + answer_slack,
-                   [self = shared_from_this(), index, request_sent_at](const read_result& result) {
-                       self->on_read(index, request_sent_at, result);
+                   [self = shared_from_this(), index, request_sent_at,
+                    call_round = round](const read_result& result) {
+                       if (self->round == call_round) {
+                           self->on_read(index, request_sent_at, result);
+                       }
                    });
+        repeat_call([index, from](state& self) { self.call_read(index, from); });
     }
 
     void on_read(std::size_t index, instant request_sent_at, const read_result& result) {
         if (is_closed) {
             return;
         }
-        if (result.outcome != store_outcome::done) {
+        --unanswered;
+        const bool has_failed = result.outcome != store_outcome::done;
+        if (has_failed && unanswered > 0) {
+            count_failure("table_read_failed");
+            return;
+        }
+        begin_round();
+        if (has_failed) {
             on_failure("table_read_failed", [](state& self) { self.read_all(); });
             return;
         }
@@ -71,14 +90,32 @@
         }
     }
 
-    void watch() {
+    // The answers to earlier calls have no effect.
+    void begin_round() {
         ++round;
         unanswered = 0;
-        call_watch();
     }
 
     // The store may have lost the call, and its timeout is long after failures: another call is
     // sent meanwhile, and the first answer counts.
+    void repeat_call(std::function<void(state&)> call) {
+        if (answer_slack == min_answer_slack) {
+            return;
+        }
+        loop.after(repeat_interval,
+                   [weak = weak_from_this(), call_round = round, call = std::move(call)] {
+                       const auto self = weak.lock();
+                       if (self && !self->is_closed && self->round == call_round) {
+                           call(*self);
+                       }
+                   });
+    }
+
+    void watch() {
+        begin_round();
+        call_watch();
+    }
+
     void call_watch() {
         ++unanswered;
         const instant request_sent_at = time.now();
@@ -89,16 +126,7 @@
                             self->on_watched(request_sent_at, result);
                         }
                     });
-        if (answer_slack == min_answer_slack) {
-            return;
-        }
-        loop.after(max_watch_wait + min_answer_slack,
-                   [weak = weak_from_this(), call_round = round] {
-                       const auto self = weak.lock();
-                       if (self && !self->is_closed && self->round == call_round) {
-                           self->call_watch();
-                       }
-                   });
+        repeat_call([](state& self) { self.call_watch(); });
     }
 
     void on_watched(instant request_sent_at, const read_result& result) {
@@ -112,7 +140,7 @@
             count_failure("table_watch_failed");
             return;
         }
-        ++round;
+        begin_round();
         if (has_failed) {
             on_failure("table_watch_failed", [](state& self) { self.watch(); });
             return;
@@ -169,7 +197,7 @@
     row_version version;
     instant confirmed_at;
     milliseconds answer_slack = min_answer_slack;
-    // Calls of the current round have the same version; those of earlier rounds have no effect.
+    // All calls of a round ask for the same; those of earlier rounds have no effect.
     std::uint64_t round = 0;
     int unanswered = 0;
     std::uint64_t failure_count = 0;
--- a/libs/dispatch_node/tests/table_watcher_test.cpp
+++ b/libs/dispatch_node/tests/table_watcher_test.cpp
@@ -89,3 +89,32 @@
     REQUIRE(f.keys == std::vector<std::string>{"key"});
     CHECK(f.changed_at - returned_at < milliseconds(2'000));
 }
+
+// Guards against a process that acts on its old rows because the read that follows an expired
+// history was lost in a silence: its timeout grew to 6.5 s with each failure.
+TEST_CASE("a table whose read a silent store has lost is up to date within 2 s of the return") {
+    fixture f;
+    f.run_for(milliseconds(50));
+    f.store.has_lost_history = true;
+    f.store.loses_requests = true;
+    // The watch is answered with 410; the third read is sent just before the end of the silence.
+    f.run_for(milliseconds(5'200));
+    f.store.loses_requests = false;
+    f.store.has_lost_history = false;
+    f.store.put("table", "part", "key", "value");
+    const instant returned_at = f.time.now();
+    f.run_for(milliseconds(5'000));
+    REQUIRE(f.keys == std::vector<std::string>{"key"});
+    CHECK(f.changed_at - returned_at < milliseconds(2'000));
+}
+
+// Guards against rows that are delivered twice, and against reads that run several times at once.
+TEST_CASE("a read that was repeated delivers the rows once") {
+    fixture f;
+    f.store.put("table", "part", "first", "value");
+    f.store.put("table", "part", "second", "value");
+    f.store.latency = milliseconds(3'000);
+    f.store.has_lost_history = true;
+    f.run_for(milliseconds(9'500));
+    CHECK(f.keys == std::vector<std::string>{"first", "second"});
+}
