--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -533,7 +533,7 @@
                        const std::vector<finished_task>& completions);
     // Tasks whose progress changed, and the executor's latest sample. `has_new_view` is false if
     // the agent has not read its executor's lists since its previous report: the progress of the
-    // other tasks is then unknown, not zero.
+    // other tasks is then unknown, not zero. A run that the coordinator does not expect is stopped.
     void progress_reported(const instance_name& instance, const std::vector<running_task>& running,
                            const interference_sample& sample, bool has_new_view = true);
     // Interference estimated from the samples of all instances.
@@ -698,6 +698,7 @@
     [[nodiscard]] bool accepts_starts() const;
     // True if the executor's capacity is smaller than the one that the order was sent by.
     [[nodiscard]] bool has_shrunk_since(const start_order& order) const;
+    void send_stop(const run_key& key, order_state& state);
     void withdraw_start(const run_key& key);
     void resolve_starts(const executor_view& view);
     void resolve_stops(const executor_view& view);
