dispatch: a crash that is only inferred fails no job before the fifth

Cause: callers saw a sound job shown as failed beside crashing tasks, once. Its task stood beside three crashes, two of them known, and a new owner that found a later incarnation counted a fourth; must_fail_job did not ask what is known of the latest crash. The same holds for a task that ran apart: an inferred third crash failed its job. Ruled out: not counting such crashes, since a task that crashes its executors must be given up before its sixth start whoever saw the crashes. Change: below five crashes a job fails only by a crash under a run that is known to have begun, and with two such crashes as before. At five it fails with the next known end of an executor, also with fewer such crashes: the limit on starts holds then too.

--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -419,12 +419,17 @@
     // The same for an executor whose agent could not tell, before the instance's last observation:
     // longer by the age of an observation, a sync of 0.5 s and a heartbeat of 0.3 s.
     milliseconds unobserved_window{1'100};
-    // Crashes of executors that are known to have begun the task after which its job fails, if no
-    // run of another job can have caused the latest one. No job fails after fewer: an executor that
-    // is unreachable, or that another owner has lost, may not have crashed.
+    // A crash is confirmed if the executor is known to have begun the task, otherwise suspected:
+    // the executor may not have begun it, and one whose lease has expired may not have crashed. The
+    // job fails after this many confirmed crashes, if the latest is confirmed and no run of another
+    // job can have caused it.
     std::uint32_t max_confirmed_crashes = 2;
-    // Crashes, confirmed or suspected, after which the job fails whoever else is to blame.
+    // Crashes of both kinds after which the job of a task with as many confirmed ones as above
+    // fails whoever else is to blame, if the latest is confirmed.
     std::uint32_t max_crashes = 4;
+    // Crashes of both kinds after which the job fails in any case, with the next end of an executor
+    // that is known. An expired lease alone fails no job.
+    std::uint32_t max_suspected_crashes = 5;
     // A task with this many crashes is started apart from others: on an instance where nothing else
     // has started within the suspicion window and nothing else does until the run has outlived it.
     std::uint32_t min_crashes_to_isolate = 2;
--- a/libs/dispatch/src/crashes.hpp
+++ b/libs/dispatch/src/crashes.hpp
@@ -20,11 +20,28 @@
     }
 };
 
-// True if the job of the task must fail. `is_sole_suspect` is true if no run of another job can
-// have caused the latest crash.
-[[nodiscard]] inline bool must_fail_job(const crash_history& crashes, bool is_sole_suspect,
-                                        const crash_rules& rules) noexcept {
-    return crashes.confirmed >= rules.max_confirmed_crashes &&
+// What is known of a crash.
+enum class crash_evidence : std::uint8_t {
+    // The instance was unreachable for so long that its lease expired; it may not have crashed.
+    expired_lease,
+    // The executor has ended, but may not have begun the run.
+    ended_executor,
+    // The executor has ended and is known to have begun the run.
+    begun_run,
+};
+
+// True if the job of the task must fail. `latest` is what is known of the latest crash;
+// `is_sole_suspect` is true if no run of another job can have caused it.
+[[nodiscard]] inline bool must_fail_job(const crash_history& crashes, crash_evidence latest,
+                                        bool is_sole_suspect, const crash_rules& rules) noexcept {
+    if (latest == crash_evidence::expired_lease) {
+        return false;
+    }
+    if (crashes.suspected >= rules.max_suspected_crashes) {
+        return true;
+    }
+    return latest == crash_evidence::begun_run &&
+           crashes.confirmed >= rules.max_confirmed_crashes &&
            (is_sole_suspect || crashes.suspected >= rules.max_crashes);
 }
 
