dispatch: a crash is confirmed only if the agent has reported the age of the run

Cause: callers would see a sound job shown as failed (LOST) after one crash under its task. A new check of the simulated system found it with random faults and crashing tasks: in seeds 349 and 1587 the second run ended with success, and the owner, which had not learnt of that end and had no age of the run from the agent, counted a second confirmed crash 3.3 and 4.4 s later. The simulated system checks that no job is given up with fewer than two crashes under its task; the seeds join the test.

--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -377,7 +377,7 @@
         run_number run;
         // Crashes under the task so far.
         std::uint32_t crashes = 0;
-        // The executor is known to have begun the run.
+        // The executor is known to have had the run shortly before its end.
         bool has_begun = false;
         // The crashes are proof against the task: its job has failed.
         bool has_failed = false;
@@ -419,10 +419,11 @@
     // The same for an executor whose agent could not tell, before the instance's last observation:
     // longer by the age of an observation, a sync of 0.5 s and a heartbeat of 0.3 s.
     milliseconds unobserved_window{1'100};
-    // A crash is confirmed if the executor is known to have begun the task, otherwise suspected:
-    // the executor may not have begun it, and one whose lease has expired may not have crashed. The
-    // job fails after this many confirmed crashes, if the latest is confirmed and no run of another
-    // job can have caused it.
+    // A crash is confirmed if the executor is known to have had the run, by the report of its
+    // agent, otherwise suspected: the executor may not have begun the run, or the run may have
+    // ended before, and an executor whose lease has expired may not have crashed. The job fails
+    // after this many confirmed crashes, if the latest is confirmed and no run of another job can
+    // have caused it.
     std::uint32_t max_confirmed_crashes = 2;
     // Crashes of both kinds after which the job of a task with as many confirmed ones as above
     // fails whoever else is to blame, if the latest is confirmed.
--- a/libs/dispatch/src/crashes.cpp
+++ b/libs/dispatch/src/crashes.cpp
@@ -13,6 +13,15 @@
 // Time after the start of a suspect in which a view of its run arrives.
 constexpr milliseconds max_time_to_clear{10'000};
 
+// The age of a run at the end of its executor, if the agent has reported it.
+std::optional<milliseconds> reported_age(const task_key& key, run_number run,
+                                         const std::vector<run_age>& ages) {
+    const auto found = std::find_if(ages.begin(), ages.end(), [&](const run_age& each) {
+        return each.task == key && each.run == run;
+    });
+    return found == ages.end() ? std::nullopt : std::optional(found->age);
+}
+
 }  // namespace
 
 bool coordinator::state::may_have_crashed(const task_key& key, const task_state& task,
@@ -20,11 +29,8 @@
     if (!task.occupies_instance() || task.phase == task_phase::placed) {
         return false;
     }
-    const auto known = std::find_if(ages.begin(), ages.end(), [&](const run_age& each) {
-        return each.task == key && each.run == task.run;
-    });
-    if (known != ages.end()) {
-        return known->age < config.crashes.suspicion_window;
+    if (const auto age = reported_age(key, task.run, ages)) {
+        return *age < config.crashes.suspicion_window;
     }
     const auto& instance = instances[*task.instance];
     if (task.has_begun) {
@@ -92,7 +98,10 @@
     for (const auto& key : keys) {
         auto& task = *find_task(key);
         if (may_have_crashed(key, task, ages)) {
-            found.tasks.push_back({key, task.run, 0, task.has_begun, false});
+            // A run whose age is not reported may have ended before the executor did.
+            const bool is_confirmed =
+                task.has_begun && reported_age(key, task.run, ages).has_value();
+            found.tasks.push_back({key, task.run, 0, is_confirmed, false});
             job_ids.insert(key.job);
         } else if (task.has_begun) {
             task.crashes = {};  // it did not crash this executor while it could
--- a/libs/dispatch/tests/crashing_tasks_test.cpp
+++ b/libs/dispatch/tests/crashing_tasks_test.cpp
@@ -390,6 +390,26 @@
     CHECK(system.phase(id) == "running");
 }
 
+// The run may have ended before the crash, while nobody saw the executor.
+TEST_CASE("a crash counts as confirmed only if the agent has reported the age of the run") {
+    owner_fixture owner;
+    owner.claim("m1");
+    owner.submit("job");
+    owner.confirm_last_start();
+    owner.crash_last(milliseconds(0));
+    owner.plan();
+    REQUIRE(owner.orders.started.size() == 2);
+    owner.confirm_last_start();
+    owner.jobs.instance_disconnected(instance_name("m1"),
+                                     owner.time.now() + std::chrono::seconds(5));
+    owner.time.advance(std::chrono::seconds(3));
+    owner.claim("m1", 3);
+    owner.plan();
+    REQUIRE(owner.orders.crashes.size() == 2);
+    CHECK(owner.orders.crashes[1].suspects.at(0).crashes == 2);
+    CHECK(name(owner.jobs.status(job_id("job"))->phase) == "running");
+}
+
 // An instance that is cut off has not crashed.
 TEST_CASE("expired leases alone fail no job") {
     owner_fixture owner;
--- a/libs/dispatch/tests/random_faults_test.cpp
+++ b/libs/dispatch/tests/random_faults_test.cpp
@@ -162,6 +162,10 @@
     for (std::uint64_t seed = 1; seed <= last; ++seed) {
         run_scenario(seed, all_faults(), 0.15);
     }
+    // A task was started after five crashes (1510), or its job given up after one (349, 1587).
+    for (const std::uint64_t seed : {349U, 1510U, 1587U}) {
+        run_scenario(seed, all_faults(), 0.15);
+    }
 }
 
 // Guards against starts that were placed by a capacity that no longer holds.
--- a/libs/dispatch/tests/world.cpp
+++ b/libs/dispatch/tests/world.cpp
@@ -22,6 +22,8 @@
 // Crashes under a task, and the starts after them that are one too many.
 constexpr std::uint32_t crashes_before_limit = 3;
 constexpr std::uint32_t excess_starts = 3;
+// Crashes under a task after which its job may fail.
+constexpr std::uint32_t crashes_to_give_up = 2;
 // Longest time between two reports of an executor.
 constexpr milliseconds report_interval{1'500};
 // A capacity that has shrunk still counts until the report has certainly arrived: the shortest
@@ -226,6 +228,14 @@
         permit_requests.push_back({step, executors});
     }
     void send_traits(const instance_name&, const task_key&, const task_traits&) override {}
+    void report_crash(const executor_crash& crash) override {
+        for (const auto& suspect : crash.suspects) {
+            if (suspect.has_failed && executor_crashes[suspect.task] < crashes_to_give_up) {
+                violation("given up after " + std::to_string(executor_crashes[suspect.task]) +
+                          " crashes under it: " + to_string(suspect.task));
+            }
+        }
+    }
 
     // --- parts (below)
     void new_coordinator();
@@ -276,6 +286,8 @@
     std::size_t start_count = 0;
     std::set<task_key> crashing;
     std::map<task_key, std::uint32_t> crash_counts;
+    // The same for all tasks, whatever crashed the executor.
+    std::map<task_key, std::uint32_t> executor_crashes;
     std::map<task_key, std::uint32_t> starts_after_crashes;
     std::vector<std::string> violations;
 };
@@ -515,6 +527,7 @@
     auto& executor = instances[index]->executor;
     executor.is_up = false;
     for (const auto& [key, run] : executor.running) {
+        ++executor_crashes[key.first];
         crash_counts[key.first] += crashing.count(key.first) != 0 ? 1U : 0U;
     }
     executor.running.clear();
