progress_rows_test: an empty write fails the case instead of ending the run

Cause: "the rows of a large job do not hold up those of other jobs" read the first row of a write that is empty without the mechanism (trial, one row a job), which ended dispatch_test with a segmentation violation and left the cases after it out.

Change: the case requires a row before it reads one; no check is dropped.

--- a/libs/dispatch/tests/progress_rows_test.cpp
+++ b/libs/dispatch/tests/progress_rows_test.cpp
@@ -327,7 +327,9 @@
     // The large job was queued first for this write.
     CHECK(rows.front().job == job_id("job"));
     f.jobs.write_done();
-    CHECK(f.jobs.begin_write().front().job == job_id("other"));
+    const auto later_rows = f.jobs.begin_write();
+    REQUIRE_FALSE(later_rows.empty());
+    CHECK(later_rows.front().job == job_id("other"));
     f.jobs.write_done();
     REQUIRE(f.orders.started.size() == 1);
     CHECK(f.orders.started[0].task.job == job_id("other"));
