dispatch_node: the wait for an earlier owner's grants counts from its last write

A successor that cannot reach an agent counted the 7 s for which an earlier owner may grant leases from its own takeover, although they count from the earlier owner's last answer of the store. Change: may_grant counts from the sending of an own write that is known to have changed the row. Each record tells by which time of the store's clock it was sent; the successor compares that with the store's time in the answer to its acquisition, and falls back to when it first saw the version.

--- a/libs/dispatch_node/include/tanagerpaddle/dispatch_node.hpp
+++ b/libs/dispatch_node/include/tanagerpaddle/dispatch_node.hpp
@@ -19,6 +19,16 @@
 // ---------------------------------------------------------------------------------------------
 // External systems
 
+// The steady clock of the table service.
+struct store_clock {
+    using duration = milliseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<store_clock>;
+    static constexpr bool is_steady = true;
+};
+using store_instant = store_clock::time_point;
+
 struct row_address {
     std::string table;
     std::string part;
@@ -71,6 +81,8 @@
     row_version version;
     // After a conflict: the current rows of the conditions.
     std::vector<stored_row> current;
+    // Time at which the store answered; unset if the answer does not tell.
+    std::optional<store_instant> answered_at{};
 };
 
 struct read_result {
--- a/libs/dispatch_node/src/entry_node.cpp
+++ b/libs/dispatch_node/src/entry_node.cpp
@@ -48,19 +48,22 @@
           owner(io_loop, node_clock, table_store, options, handlers()) {}
 
     ownership::events handlers() {
-        return {[this](epoch_number epoch, const std::optional<owner_record>& previous) {
-                    gained(epoch, previous);
-                },
+        return {[this](const ownership::gain& gained) { begin_session(gained); },
                 [this] { lost(); }};
     }
 
     // --- ownership
-    void gained(epoch_number epoch, const std::optional<owner_record>& previous) {
-        // An owner that has released the ownership, or that was a process of this instance, no
-        // longer grants leases; any other may still grant them while it cannot reach the store.
+    // Time after which no earlier owner grants leases.
+    [[nodiscard]] instant grants_end_by(const ownership::gain& gained) const {
+        const auto& previous = gained.previous;
         const bool has_ended = !previous || previous->is_released || previous->name == options.name;
-        const auto delay = options.timing.expiry_delay() +
-                           (has_ended ? milliseconds(0) : options.timing.max_renewal_without_store);
+        // Any other grants for a limited time after it has sent its newest write of the row.
+        return has_ended ? time.now()
+                         : std::max(time.now(), gained.previous_written_by +
+                                                    options.timing.max_renewal_without_store);
+    }
+
+    void begin_session(const ownership::gain& gained) {
         close_owner_link();
         owner_session::environment environment;
         environment.loop = &loop;
@@ -69,7 +72,8 @@
         environment.policies = policies;
         environment.owner = &owner;
         environment.timing = options.timing;
-        session = std::make_shared<owner_session>(environment, epoch, time.now() + delay);
+        session = std::make_shared<owner_session>(
+            environment, gained.epoch, grants_end_by(gained) + options.timing.expiry_delay());
         session->set_queues(queues);
         session->set_evacuated(evacuated);
         session->begin();
--- a/libs/dispatch_node/src/ownership.cpp
+++ b/libs/dispatch_node/src/ownership.cpp
@@ -36,21 +36,28 @@
 }  // namespace
 
 std::string encode(const owner_record& record) {
-    return nlohmann::json{{"name", record.name},
-                          {"life", record.incarnation},
-                          {"address", record.address},
-                          {"epoch", record.epoch.value()},
-                          {"released", record.is_released},
-                          {"strongest", record.max_processors.value()}}
-        .dump();
+    nlohmann::json out{{"name", record.name},
+                       {"life", record.incarnation},
+                       {"address", record.address},
+                       {"epoch", record.epoch.value()},
+                       {"released", record.is_released},
+                       {"strongest", record.max_processors.value()}};
+    if (record.sent_by) {
+        out["sent_by"] = record.sent_by->time_since_epoch().count();
+    }
+    return out.dump();
 }
 
 std::optional<owner_record> decode_owner(std::string_view text) {
     const auto in = nlohmann::json::parse(text, nullptr, false);
     try {
-        return owner_record{in.at("name"),     in.at("life"),
+        owner_record record{in.at("name"),     in.at("life"),
                             in.at("address"),  epoch_number(in.at("epoch").get<std::uint64_t>()),
                             in.at("released"), millicores(in.at("strongest").get<std::int64_t>())};
+        if (in.contains("sent_by")) {  // entries of earlier versions do not write it
+            record.sent_by = store_instant(milliseconds(in.at("sent_by").get<milliseconds::rep>()));
+        }
+        return record;
     } catch (const nlohmann::json::exception&) {
         return std::nullopt;
     }
@@ -96,13 +103,68 @@
     }
 
     void observe(const stored_row& row) {
-        if (row.version != version || !has_observed) {
-            has_observed = true;
-            version = row.version;
-            changed_at = time.now();
-            is_suspected = false;
-        }
+        const bool is_new = row.version != version || !has_observed;
         record = decode_owner(row.value);
+        if (!is_new) {
+            return;
+        }
+        has_observed = true;
+        set_version(row.version);
+        changed_at = time.now();
+        is_suspected = false;
+        previous = record;
+        previous_unchanged_since = time.now();
+    }
+
+    void set_version(row_version current) {
+        if (current != version) {
+            version = current;
+            first_attempt_at.reset();
+        }
+    }
+
+    // Called before each write, which is conditional on `version`; returns its send time.
+    instant begin_attempt(owner_record& written) {
+        const instant now = time.now();
+        first_attempt_at = first_attempt_at.value_or(now);
+        written.sent_by.reset();
+        if (store_time) {
+            // The store answered after that request was sent, in whole milliseconds, so that its
+            // time now is no later. Answers to reads are not used: they may be behind.
+            written.sent_by = *store_time +
+                              std::chrono::ceil<milliseconds>(now - store_time_sent_at) +
+                              milliseconds(1);
+        }
+        return now;
+    }
+
+    void record_store_time(instant request_sent_at, std::optional<store_instant> answered) {
+        if (answered) {
+            store_time = answered;
+            store_time_sent_at = request_sent_at;
+        }
+    }
+
+    // Time by which the newest write of the previous owner was sent; `answered` is the store's time
+    // in an answer that has just arrived.
+    [[nodiscard]] instant previous_written_by(std::optional<store_instant> answered) const {
+        if (!previous || !previous->sent_by || !answered) {
+            return previous_unchanged_since;
+        }
+        return std::min(previous_unchanged_since, time.now() - (*answered - *previous->sent_by));
+    }
+
+    void renewed(instant request_sent_at, row_version current) {
+        renewed_at = std::max(renewed_at, request_sent_at);
+        set_version(current);
+    }
+
+    // The row has changed by an attempt whose answer was lost, one of those since the first.
+    void renewed_unanswered(row_version current) {
+        if (first_attempt_at && current != version) {
+            renewed(*first_attempt_at, current);
+        }
+        set_version(current);
     }
 
     [[nodiscard]] bool should_acquire() const {
@@ -147,32 +209,36 @@
         next.address = to_string(local_entry.messages);
         next.max_processors = local_entry.processors;
         next.epoch = record ? record->epoch.next() : epoch_number(1);
-        const auto previous = record;
-        const instant request_sent_at = time.now();
-        store.transact(transaction_for(next, {}), store_timeout,
-                       [self = shared_from_this(), next, previous,
-                        request_sent_at](const transaction_result& result) {
-                           self->on_acquire_answer(next, previous, request_sent_at, result);
-                       });
+        const instant request_sent_at = begin_attempt(next);
+        store.transact(
+            transaction_for(next, {}), store_timeout,
+            [self = shared_from_this(), next, request_sent_at](const transaction_result& result) {
+                self->on_acquire_answer(next, request_sent_at, result);
+            });
     }
 
-    void on_acquire_answer(const owner_record& next, const std::optional<owner_record>& previous,
-                           instant request_sent_at, const transaction_result& result) {
+    void on_acquire_answer(const owner_record& next, instant request_sent_at,
+                           const transaction_result& result) {
         is_acquiring = false;
         record_answer(
             result.outcome == store_outcome::done || result.outcome == store_outcome::conflict,
             request_sent_at);
+        record_store_time(request_sent_at, result.answered_at);
         if (is_closed) {
             return;
         }
         bool has_won = result.outcome == store_outcome::done;
         if (has_won) {
-            version = result.version;
+            renewed(request_sent_at, result.version);
         } else if (result.outcome == store_outcome::conflict && !result.current.empty()) {
             // An earlier attempt whose answer was lost may have succeeded.
-            const auto winner = decode_owner(result.current.front().value);
+            const auto& current = result.current.front();
+            const auto winner = decode_owner(current.value);
             has_won = winner && winner->incarnation == local_entry.incarnation;
-            observe(result.current.front());
+            if (has_won) {
+                renewed_unanswered(current.version);
+            }
+            observe(current);
         }
         if (!has_won) {
             return;
@@ -180,11 +246,14 @@
         record = next;
         is_owner = true;
         gained_at = time.now();
+        const instant written_by = previous_written_by(result.answered_at);
+        const auto written_ago = std::chrono::duration_cast<milliseconds>(gained_at - written_by);
         log_event(log_level::info, "ownership_gained",
                   {{"epoch", next.epoch.value()},
                    {"previous", previous ? previous->name : std::string("none")},
-                   {"previous_released", previous && previous->is_released}});
-        handlers.on_gained(next.epoch, previous);
+                   {"previous_released", previous && previous->is_released},
+                   {"previous_written_ago_ms", written_ago}});
+        handlers.on_gained({next.epoch, previous, written_by});
     }
 
     row_transaction transaction_for(const owner_record& owner,
@@ -202,7 +271,7 @@
     void write(const std::vector<progress_row>& rows, std::function<void(bool)> done) {
         is_writing = true;
         update_record();
-        const instant request_sent_at = time.now();
+        const instant request_sent_at = begin_attempt(*record);
         store.transact(
             transaction_for(*record, rows), store_timeout,
             [self = shared_from_this(), request_sent_at, was_released = record->is_released,
@@ -216,12 +285,13 @@
         const bool is_answered =
             result.outcome == store_outcome::done || result.outcome == store_outcome::conflict;
         record_answer(is_answered, request_sent_at);
+        record_store_time(request_sent_at, result.answered_at);
         if (is_closed) {
             return;
         }
         log_slow_write(result.outcome, request_sent_at);
         if (result.outcome == store_outcome::done) {
-            version = result.version;
+            renewed(request_sent_at, result.version);
             if (was_released) {
                 lose_ownership(std::nullopt);
                 return;
@@ -234,7 +304,7 @@
                 lose_ownership(stored);
                 return;
             }
-            version = result.current.front().version;
+            renewed_unanswered(result.current.front().version);
         }
         const bool is_durable = result.outcome == store_outcome::done;
         if (is_durable || result.outcome == store_outcome::conflict) {
@@ -271,7 +341,6 @@
 
     void record_answer(bool is_answered, instant request_sent_at) {
         if (is_answered) {
-            confirmed_at = std::max(confirmed_at, request_sent_at);
             answered_at = time.now();
             latency = std::chrono::duration_cast<milliseconds>(time.now() - request_sent_at);
             store_timeout =
@@ -295,8 +364,19 @@
     events handlers;
     std::optional<owner_record> record;
     row_version version;
+    // Send time of the first write that is conditional on `version`.
+    std::optional<instant> first_attempt_at;
+    instant renewed_at;
+    // The store's time in its newest answer, and the send time of the request that it answers.
+    std::optional<store_instant> store_time;
+    instant store_time_sent_at;
+    // Start of the time without a change after which the owner counts as failed; a failed read
+    // starts it anew.
     instant changed_at;
-    instant confirmed_at;
+    // The record that was read last, and when its version of the row was first seen. Failed reads
+    // do not change it.
+    std::optional<owner_record> previous;
+    instant previous_unchanged_since;
     instant answered_at;
     instant gained_at;
     millicores max_peer_processors;
@@ -335,8 +415,8 @@
 const std::optional<owner_record>& ownership::current() const {
     return state_->record;
 }
-instant ownership::confirmed_at() const {
-    return state_->confirmed_at;
+instant ownership::renewed_at() const {
+    return state_->renewed_at;
 }
 instant ownership::answered_at() const {
     return state_->answered_at;
--- a/libs/dispatch_node/src/ownership.hpp
+++ b/libs/dispatch_node/src/ownership.hpp
@@ -28,6 +28,8 @@
     bool is_released = false;
     // Most processors of one entry among the owner and the entries connected to it.
     millicores max_processors;
+    // The write of this record was sent by then; unset if the store's time was not known.
+    std::optional<store_instant> sent_by{};
 };
 
 [[nodiscard]] std::string encode(const owner_record& record);
@@ -35,10 +37,16 @@
 
 class ownership {
 public:
+    // The ownership that this entry has acquired.
+    struct gain {
+        epoch_number epoch;
+        // The record that was replaced, if there was one.
+        std::optional<owner_record> previous;
+        // The newest write of the previous owner that changed the row was sent by then.
+        instant previous_written_by;
+    };
     struct events {
-        // `previous` is the record that was replaced, if there was one.
-        std::function<void(epoch_number epoch, const std::optional<owner_record>& previous)>
-            on_gained;
+        std::function<void(const gain& gained)> on_gained;
         std::function<void()> on_lost;
     };
 
@@ -52,8 +60,9 @@
     [[nodiscard]] bool is_owner() const;
     // The owner's record as last read or written; nullopt if there is none.
     [[nodiscard]] const std::optional<owner_record>& current() const;
-    // Send time of the newest request that the store answered.
-    [[nodiscard]] instant confirmed_at() const;
+    // Lower bound of the send time of this entry's newest write that is known to have changed the
+    // row. Answers that leave the row as it was do not count: a successor cannot see them.
+    [[nodiscard]] instant renewed_at() const;
     // Arrival time of the newest answer of the store.
     [[nodiscard]] instant answered_at() const;
     // Time from request to answer of the newest answer of the store.
--- a/libs/dispatch_node/tests/entry_node_test.cpp
+++ b/libs/dispatch_node/tests/entry_node_test.cpp
@@ -276,6 +276,51 @@
     CHECK(f.status("job") == std::pair(entry_node::lookup::found, job_phase::cancelled));
 }
 
+// Guards against tasks that wait longer than the earlier owner can have renewed leases, and against
+// a second run of a task while it still may.
+TEST_CASE("a run that cannot be reached has ended by the last change of the earlier owner's row") {
+    eventio::event_loop loop;
+    system_clock time;
+    fake_store store(loop);
+    lease_timing timing;
+    timing.lease_duration = milliseconds(500);
+    timing.max_renewal_without_store = milliseconds(3'000);
+    const milliseconds wait = timing.max_renewal_without_store + timing.expiry_delay();
+    entry_node entry(loop, time, store, nullptr,
+                     {"entry", "life", local_endpoint(0), millicores(1'000), timing});
+    const auto run_for = [&](milliseconds limit) {
+        loop.after(limit, [&] { loop.stop(); });
+        loop.run();
+    };
+    const auto renew_as_other = [&] {
+        store.put(owner_table, owner_part, "owner",
+                  encode({"other", "life", to_string(local_endpoint(1)), epoch_number(1), false,
+                          millicores(1'000)}));
+    };
+    const std::string id = "0123456789abcdef";
+    store.put(job_table, part_of(job_id(id)), id, encode_job(make_job(id)));
+    store.put(progress_table, owner_part, id, R"({"p":1,"t":[[0,0,0,1,0,"away",""]],"d":[]})");
+    store.put(agent_table, "", "away", to_string(local_endpoint(2)));
+    renew_as_other();
+    entry.start();
+    run_for(milliseconds(600));
+    const instant renewed_at = time.now();
+    renew_as_other();
+    std::optional<instant> ended_at;
+    loop.every(milliseconds(20), [&] {
+        if (!ended_at && entry.count().waiting_tasks == 1) {
+            ended_at = time.now();
+            loop.stop();
+        }
+    });
+    run_for(wait + milliseconds(2'500));
+    REQUIRE(entry.is_owner());
+    REQUIRE(ended_at.has_value());
+    CHECK(*ended_at - renewed_at >= wait);
+    // The row is read every 400 ms, and the takeover takes at least 1.6 s.
+    CHECK(*ended_at - renewed_at < wait + milliseconds(1'200));
+}
+
 TEST_CASE("the owner reads a table again after the store has lost its history") {
     fixture f;
     f.store.has_lost_history = true;
--- a/libs/dispatch_node/tests/fake_store.hpp
+++ b/libs/dispatch_node/tests/fake_store.hpp
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <optional>
+#include <utility>
 
 #include "tanagerpaddle/dispatch_node.hpp"
 
@@ -16,6 +17,9 @@
     void transact(const row_transaction& transaction, milliseconds timeout,
                   std::function<void(const transaction_result&)> done) override {
         ++transactions;
+        if (before_next_transaction) {
+            std::exchange(before_next_transaction, nullptr)();
+        }
         if (is_down) {
             loop_.post([done] { done({store_outcome::rejected, {}, {}}); });
             return;
@@ -106,6 +110,8 @@
     int job_writes = 0;
     int watches = 0;
     milliseconds latency{2};
+    // Called once, when the next transaction arrives.
+    std::function<void()> before_next_transaction;
     // Writes are not answered, and are done after this time.
     std::optional<milliseconds> write_delay;
     bool is_down = false;
@@ -118,10 +124,23 @@
     bool loses_watches = false;
     bool has_lost_history = false;
 
+    // The store's time; unset if its answers do not tell it.
+    [[nodiscard]] std::optional<store_instant> now() const {
+        if (!tells_time) {
+            return std::nullopt;
+        }
+        const auto elapsed = system_clock().now().time_since_epoch();
+        return store_instant(std::chrono::floor<milliseconds>(elapsed) + clock_offset);
+    }
+    bool tells_time = false;
+    // Its clock and that of the processes have different origins.
+    milliseconds clock_offset{-1'000'000};
+
 private:
     transaction_result apply(const row_transaction& transaction) {
         transaction_result result;
         result.outcome = store_outcome::done;
+        result.answered_at = now();
         for (const auto& condition : transaction.conditions) {
             const auto found = rows.find({condition.table, transaction.part, condition.key});
             const auto current = found == rows.end() ? row_version() : found->second.second;
