dispatch_node: an acquisition whose answer was lost does not hide the earlier owner

Cause: an entry whose acquisition was done but not answered read its own record, acquired the row again, and took itself for the earlier owner: a process of its own instance, whose grants have ended. It then waited only one expiry delay after the takeover, while the real earlier owner may still grant. An owner of another name with the same incarnation was also taken for the entry itself. Change: own records, told by name and incarnation, do not replace the record and time of the earlier owner. Result: ownership_test: without the change the previous owner was "b" instead of "a" in both subcases (4 checks failed); all pass now.

--- a/libs/dispatch_node/src/ownership.cpp
+++ b/libs/dispatch_node/src/ownership.cpp
@@ -112,8 +112,15 @@
         set_version(row.version);
         changed_at = time.now();
         is_suspected = false;
-        previous = record;
-        previous_unchanged_since = time.now();
+        // An own record is that of an acquisition whose answer was lost.
+        if (!record || !is_own(*record)) {
+            previous = record;
+            previous_unchanged_since = time.now();
+        }
+    }
+
+    [[nodiscard]] bool is_own(const owner_record& stored) const {
+        return stored.name == local_entry.name && stored.incarnation == local_entry.incarnation;
     }
 
     void set_version(row_version current) {
@@ -145,8 +152,8 @@
         }
     }
 
-    // Time by which the newest write of the previous owner was sent; `answered` is the store's time
-    // in an answer that has just arrived.
+    // Time by which the newest write of another process was sent; `answered` is the store's time in
+    // an answer that has just arrived.
     [[nodiscard]] instant previous_written_by(std::optional<store_instant> answered) const {
         if (!previous || !previous->sent_by || !answered) {
             return previous_unchanged_since;
@@ -234,7 +241,7 @@
             // An earlier attempt whose answer was lost may have succeeded.
             const auto& current = result.current.front();
             const auto winner = decode_owner(current.value);
-            has_won = winner && winner->incarnation == local_entry.incarnation;
+            has_won = winner && is_own(*winner);
             if (has_won) {
                 renewed_unanswered(current.version);
             }
@@ -299,8 +306,7 @@
         } else if (result.outcome == store_outcome::conflict) {
             const auto stored =
                 result.current.empty() ? std::nullopt : decode_owner(result.current.front().value);
-            if (!stored || stored->incarnation != local_entry.incarnation ||
-                stored->epoch != record->epoch) {
+            if (!stored || !is_own(*stored) || stored->epoch != record->epoch) {
                 lose_ownership(stored);
                 return;
             }
@@ -373,8 +379,8 @@
     // Start of the time without a change after which the owner counts as failed; a failed read
     // starts it anew.
     instant changed_at;
-    // The record that was read last, and when its version of the row was first seen. Failed reads
-    // do not change it.
+    // The newest record of another process, and when its version of the row was first seen. Failed
+    // reads do not change it.
     std::optional<owner_record> previous;
     instant previous_unchanged_since;
     instant answered_at;
--- a/libs/dispatch_node/src/ownership.hpp
+++ b/libs/dispatch_node/src/ownership.hpp
@@ -40,9 +40,9 @@
     // The ownership that this entry has acquired.
     struct gain {
         epoch_number epoch;
-        // The record that was replaced, if there was one.
+        // The newest record of another process in the row, if there was one.
         std::optional<owner_record> previous;
-        // The newest write of the previous owner that changed the row was sent by then.
+        // The newest write of another process that changed the row was sent by then.
         instant previous_written_by;
     };
     struct events {
--- a/libs/dispatch_node/tests/ownership_test.cpp
+++ b/libs/dispatch_node/tests/ownership_test.cpp
@@ -193,6 +193,21 @@
     CHECK(b.gains.front().previous_written_by - restored_at >= milliseconds(0));
 }
 
+// Incarnations differ only between processes of the same name.
+TEST_CASE("a record of another name is not an own one, also if its incarnation is the same") {
+    eventio::event_loop loop;
+    fake_store store(loop);
+    auto record = record_of("a", 1);
+    record.incarnation = "life-b";
+    put_owner(store, record);
+    candidate b(loop, store, "b");
+    b.owner.start();
+    run_for(loop, milliseconds(3'000));
+    REQUIRE(b.gains.size() == 1);
+    REQUIRE(b.gains.front().previous.has_value());
+    CHECK(b.gains.front().previous->name == "a");
+}
+
 TEST_CASE("an entry that has lost the ownership counts from its first read since") {
     eventio::event_loop loop;
     fake_store store(loop);
@@ -233,6 +248,33 @@
     CHECK(b.gains.front().previous_written_by - written_at >= milliseconds(0));
 }
 
+TEST_CASE("an acquisition whose answer was lost leaves the earlier owner the previous one") {
+    eventio::event_loop loop;
+    fake_store store(loop);
+    system_clock time;
+    const instant begun_at = time.now();
+    put_owner(store, record_of("a", 1));
+    candidate b(loop, store, "b");
+    b.owner.start();
+    SUBCASE("the next read shows the own record") {
+        store.loses_answers = true;
+    }
+    SUBCASE("the store carries it out late") {
+        store.write_delay = milliseconds(1'500);
+    }
+    run_for(loop, milliseconds(3'700));
+    CHECK(b.gains.empty());
+    CHECK(decode_owner(store.value(owner_table, owner_part, "owner"))->name == "b");
+    store.loses_answers = false;
+    store.write_delay.reset();
+    run_for(loop, milliseconds(4'000));
+    REQUIRE(b.gains.size() == 1);
+    REQUIRE(b.gains.front().previous.has_value());
+    CHECK(b.gains.front().previous->name == "a");
+    CHECK(b.gains.front().previous_written_by - begun_at >= milliseconds(0));
+    CHECK(b.gains.front().previous_written_by - begun_at < max_observation_delay);
+}
+
 // Guards against a wait that counts from the end of a store outage although the owner's last write
 // came before it: entries do not read the row after each write of a busy owner.
 TEST_CASE("the time of the owner's last write is known by the store's clock") {
