--- a/libs/dispatch/src/progress.cpp
+++ b/libs/dispatch/src/progress.cpp
@@ -149,6 +149,19 @@
     return is_consistent;
 }
 
+namespace {
+
+// A start in the row may never have been sent, or may have come to nothing.
+bool shows_begun_run(const progress_record& record) {
+    return !record.succeeded.empty() ||
+           std::any_of(record.histories.begin(), record.histories.end(), [](const auto& history) {
+               return history.failures > 0 || !history.checkpoint.empty() ||
+                      history.crashes.confirmed > 0;
+           });
+}
+
+}  // namespace
+
 bool coordinator::restore(const job_id& id, std::string_view value, instant expires_at,
                           std::uint32_t number) {
     const auto record = decode_progress(value);
@@ -177,8 +190,10 @@
     state_->clear_row(*job, number);
     job->restored_rows.insert(number);
     const bool is_consistent = state_->restore_entries(*job, *record, number, expires_at);
-    if (!record->succeeded.empty() || !record->histories.empty()) {
+    if (shows_begun_run(*record)) {
         state_->mark_started(*job);
+    }
+    if (!record->succeeded.empty() || !record->histories.empty()) {
         if (job->phase == job_phase::pending) {
             job->phase = job_phase::running;  // the first row is missing, or is restored later
             state_->mark_dirty(*job, 0);
