dispatch: no start is sent beside another run of its task that is being stopped

Cause: a run that a heartbeat lists and the owner does not expect is stopped, but a start of the same task that waited for its row was still sent: two runs at once, or a start over the capacity that the unexpected run takes; and if that run succeeded, the task ran again. Change: a placed task is withdrawn when another run of it is found; a task outside gangs is not placed while a run of it is being stopped; the success of such a run counts if the task still waits. Gangs are left as they were.

--- a/libs/dispatch/src/coordinator_state.hpp
+++ b/libs/dispatch/src/coordinator_state.hpp
@@ -45,6 +45,8 @@
     executor_incarnation incarnation;
     instant started_at;
     bool has_begun = false;
+    // Runs other than the current one that are being stopped.
+    std::uint32_t orphaned_runs = 0;
     crash_history crashes;
 
     [[nodiscard]] bool occupies_instance() const noexcept {
@@ -206,7 +208,11 @@
     // left to that.
     void stop_unexpected_run(std::size_t instance, const task_key& key, run_number run);
     void stop_orphaned_run(std::size_t instance, const task_key& key, run_number run);
-    void remove_orphaned_run(std::size_t instance, const task_key& key, run_number run);
+    // Returns false if there is no such run.
+    bool remove_orphaned_run(std::size_t index, const task_key& key, run_number run);
+    void count_orphaned_run_ended(const task_key& key);
+    [[nodiscard]] bool counts_although_orphaned(const finished_task& completion,
+                                                const task_state& task) const;
     void stop_task(const task_key& key, task_state& task);
     void withdraw(const task_key& key);
     void clear_instance(std::size_t instance);
@@ -214,7 +220,7 @@
     void requeue_excess_tasks(std::size_t instance);
     void record_checkpoint(const task_key& key, task_state& task, const std::string& checkpoint);
     void handle_completion(std::size_t instance, const finished_task& completion);
-    void mark_succeeded(const task_key& key, task_state& task);
+    void mark_succeeded(const task_key& key, task_state& task, std::size_t index);
     void record_failure(const task_key& key, task_state& task, std::size_t instance);
     void mark_gang_succeeded(const task_key& key);
     void complete_job_if_done(job_state& job);
--- a/libs/dispatch/src/planning.cpp
+++ b/libs/dispatch/src/planning.cpp
@@ -160,7 +160,9 @@
                 ready_step step;
                 auto& progress = occurrence.steps[s];
                 for (std::uint32_t i = 0; i < progress.tasks.size(); ++i) {
-                    if (progress.tasks[i].phase == task_phase::waiting) {
+                    const auto& task = progress.tasks[i];
+                    if (task.phase == task_phase::waiting &&
+                        (task.orphaned_runs == 0 || spec.steps[s].is_gang)) {
                         step.waiting.push_back(i);
                     }
                 }
--- a/libs/dispatch/src/task_lifecycle.cpp
+++ b/libs/dispatch/src/task_lifecycle.cpp
@@ -113,7 +113,12 @@
         instance.orphaned_runs.count(std::pair(key, run)) != 0) {
         return;
     }
+    auto* task = find_task(key);
+    if (task != nullptr && task->phase == task_phase::placed) {
+        withdraw(key);
+    }
     stop_orphaned_run(index, key, run);
+    requeue_excess_tasks(index);
 }
 
 void coordinator::state::stop_orphaned_run(std::size_t index, const task_key& key, run_number run) {
@@ -122,21 +127,35 @@
     if (instance.orphaned_runs.count(id) == 0) {
         // The demand of a run whose job is unknown cannot be determined; such runs are rare and
         // short.
-        const auto* task = find_task(key);
+        auto* task = find_task(key);
         const resources demand = task != nullptr ? reserved_resources(spec_of(key)) : resources{};
         instance.orphaned_runs.emplace(id, demand);
+        if (task != nullptr) {
+            ++task->orphaned_runs;
+        }
         instance.committed += demand;
     }
     orders.stop(instance.name, key, run);
 }
 
-void coordinator::state::remove_orphaned_run(std::size_t index, const task_key& key,
+bool coordinator::state::remove_orphaned_run(std::size_t index, const task_key& key,
                                              run_number run) {
     auto& instance = instances[index];
     const auto found = instance.orphaned_runs.find(std::pair(key, run));
-    if (found != instance.orphaned_runs.end()) {
-        instance.committed -= found->second;
-        instance.orphaned_runs.erase(found);
+    if (found == instance.orphaned_runs.end()) {
+        return false;
+    }
+    instance.committed -= found->second;
+    instance.orphaned_runs.erase(found);
+    count_orphaned_run_ended(key);
+    return true;
+}
+
+void coordinator::state::count_orphaned_run_ended(const task_key& key) {
+    auto* task = find_task(key);
+    // The job may have been unknown when its run was found.
+    if (task != nullptr && task->orphaned_runs > 0) {
+        --task->orphaned_runs;
     }
 }
 
@@ -173,6 +192,7 @@
     }
     for (const auto& [id, demand] : instance.orphaned_runs) {
         instance.committed -= demand;
+        count_orphaned_run_ended(id.first);
     }
     instance.orphaned_runs.clear();
     check_invariant(
@@ -235,9 +255,21 @@
     }
 }
 
+// A task that still waits for its next run does not need it.
+bool coordinator::state::counts_although_orphaned(const finished_task& completion,
+                                                  const task_state& task) const {
+    const auto& spec = spec_of(completion.task);
+    return completion.outcome == run_outcome::succeeded && task.phase == task_phase::waiting &&
+           !spec.is_long_running && !spec.is_gang && !jobs.at(completion.task.job).is_terminal();
+}
+
 void coordinator::state::handle_completion(std::size_t index, const finished_task& completion) {
-    remove_orphaned_run(index, completion.task, completion.run);
+    const bool was_orphaned = remove_orphaned_run(index, completion.task, completion.run);
     auto* task = find_task(completion.task);
+    if (was_orphaned && task != nullptr && counts_although_orphaned(completion, *task)) {
+        mark_succeeded(completion.task, *task, index);
+        return;
+    }
     if (task == nullptr || task->instance != index || task->run != completion.run ||
         !task->occupies_instance()) {
         return;
@@ -251,7 +283,7 @@
     }
     const bool is_long_running = spec_of(completion.task).is_long_running;
     if (completion.outcome == run_outcome::succeeded && !is_long_running) {
-        mark_succeeded(completion.task, *task);
+        mark_succeeded(completion.task, *task, index);
     } else if (completion.outcome == run_outcome::failed) {
         record_failure(completion.task, *task, index);
     } else {
@@ -259,8 +291,8 @@
     }
 }
 
-void coordinator::state::mark_succeeded(const task_key& key, task_state& task) {
-    instances[*task.instance].health.succeeded();
+void coordinator::state::mark_succeeded(const task_key& key, task_state& task, std::size_t index) {
+    instances[index].health.succeeded();
     const bool is_gang = spec_of(key).is_gang;
     unassign(key, task);
     task.phase = task_phase::succeeded;
@@ -295,6 +327,7 @@
                     .orphaned_runs.emplace(std::pair(member_key, member.run), demand)
                     .second) {
                 instances[*index].committed += demand;
+                ++member.orphaned_runs;
             }
         }
     }
