dispatch_node: an owner grants no lease once it has sent a release

Cause: an owner whose release was written but not answered granted leases until it learned of it, for up to 7 s, while its successor takes a released row as the end of the grants: a task whose instance only the earlier owner reaches could be restarted while it runs. The class of fault is that of, an unknown outcome taken for "not done". Change: no grant from before the release is sent, unless the store refuses it (then nothing was done). Since runs would then not outlast an outage of the store, a handover to a larger entry waits until the owner's writes are answered. A leaving owner whose release gets no answer no longer grants in its last seconds.

--- a/libs/dispatch_node/src/owner_links.cpp
+++ b/libs/dispatch_node/src/owner_links.cpp
@@ -211,7 +211,8 @@
 }
 
 bool owner_session::may_grant() const {
-    return env_.time->now() - env_.owner->renewed_at() <= env_.timing.max_renewal_without_store;
+    return !env_.owner->may_be_released() &&
+           env_.time->now() - env_.owner->renewed_at() <= env_.timing.max_renewal_without_store;
 }
 
 void owner_session::send(const instance_name& instance, const json& message) {
--- a/libs/dispatch_node/src/ownership.cpp
+++ b/libs/dispatch_node/src/ownership.cpp
@@ -197,7 +197,11 @@
     // Called before each write of the owner.
     void update_record() {
         record->max_processors = std::max(local_entry.processors, max_peer_processors);
-        const bool should_release = max_peer_processors.value() >=
+        // Without an answer to its release an owner grants no leases, so that runs would not
+        // outlast an outage of the store: a handover waits for its end.
+        const bool is_answered = !first_attempt_at;
+        const bool should_release = is_answered &&
+                                    max_peer_processors.value() >=
                                         handover_processor_ratio * local_entry.processors.value() &&
                                     time.now() - gained_at >= min_ownership_time;
         if (should_release && !record->is_released) {
@@ -252,6 +256,7 @@
         }
         record = next;
         is_owner = true;
+        may_be_released = false;
         gained_at = time.now();
         const instant written_by = previous_written_by(result.answered_at);
         const auto written_ago = std::chrono::duration_cast<milliseconds>(gained_at - written_by);
@@ -280,12 +285,17 @@
         is_writing = true;
         update_record();
         const instant request_sent_at = begin_attempt(*record);
-        store.transact(
-            transaction_for(*record, rows), store_timeout,
-            [self = shared_from_this(), request_sent_at, was_released = record->is_released,
-             done = std::move(done)](const transaction_result& result) {
-                self->on_written(request_sent_at, was_released, result, done);
-            });
+        const bool was_released = record->is_released;
+        const bool is_first_release = was_released && !may_be_released;
+        may_be_released = may_be_released || was_released;
+        store.transact(transaction_for(*record, rows), store_timeout,
+                       [self = shared_from_this(), request_sent_at, was_released, is_first_release,
+                        done = std::move(done)](const transaction_result& result) {
+                           if (is_first_release && result.outcome == store_outcome::rejected) {
+                               self->may_be_released = false;
+                           }
+                           self->on_written(request_sent_at, was_released, result, done);
+                       });
     }
 
     void on_written(instant request_sent_at, bool was_released, const transaction_result& result,
@@ -395,6 +405,7 @@
     bool is_acquiring = false;
     bool is_writing = false;
     bool is_suspected = false;
+    bool may_be_released = false;
     bool is_leaving = false;
     bool is_closed = false;
 };
@@ -425,6 +436,9 @@
 instant ownership::renewed_at() const {
     return state_->renewed_at;
 }
+bool ownership::may_be_released() const {
+    return state_->may_be_released;
+}
 instant ownership::answered_at() const {
     return state_->answered_at;
 }
--- a/libs/dispatch_node/src/ownership.hpp
+++ b/libs/dispatch_node/src/ownership.hpp
@@ -24,7 +24,7 @@
     std::string incarnation;
     std::string address;
     epoch_number epoch;
-    // The owner has released the ownership and no longer grants leases.
+    // The owner has released the ownership. It grants no leases from before it sends this record.
     bool is_released = false;
     // Most processors of one entry among the owner and the entries connected to it.
     millicores max_processors;
@@ -63,6 +63,9 @@
     // Lower bound of the send time of this entry's newest write that is known to have changed the
     // row. Answers that leave the row as it was do not count: a successor cannot see them.
     [[nodiscard]] instant renewed_at() const;
+    // True once this entry has sent a release, unless the store has refused it: another entry may
+    // then own the coordinator, and counts on this one granting no more leases.
+    [[nodiscard]] bool may_be_released() const;
     // Arrival time of the newest answer of the store.
     [[nodiscard]] instant answered_at() const;
     // Time from request to answer of the newest answer of the store.
--- a/libs/dispatch_node/tests/ownership_test.cpp
+++ b/libs/dispatch_node/tests/ownership_test.cpp
@@ -162,6 +162,31 @@
     CHECK_FALSE(small.owner.is_owner());
 }
 
+// Guards against runs that end in an outage of the store since their owner has sent a release and
+// grants no more leases.
+TEST_CASE("a handover does not begin while a write has no answer") {
+    eventio::event_loop loop;
+    fake_store store(loop);
+    candidate small(loop, store, "small", 69);
+    small.owner.start();
+    run_for(loop, milliseconds(2'200));
+    REQUIRE(small.owner.is_owner());
+    SUBCASE("the store is silent") {
+        store.loses_requests = true;
+    }
+    SUBCASE("the store refuses writes") {
+        store.rejects_writes = true;
+    }
+    run_for(loop, milliseconds(100));
+    small.owner.set_max_peer_processors(millicores(500));
+    run_for(loop, milliseconds(1'500));
+    CHECK_FALSE(small.owner.may_be_released());
+    store.loses_requests = false;
+    store.rejects_writes = false;
+    run_for(loop, milliseconds(2'500));
+    CHECK(small.losses == 1);
+}
+
 // The following cases guard against a successor that restarts a task while an earlier owner may
 // still grant leases to the instance that runs it.
 
