dispatch_node: a successor waits for the owners before one that has released

Cause: a successor of an owner that released its row, or of an earlier process of its own instance, took the end of that owner's grants for the end of all. The owner before it may still grant for up to 7 s after its last write if it has lost the store only: a task on an instance that only it reaches could be restarted while it runs. The same holds for an owner of an earlier version, which grants until it has the answer to its release. Change: an owner computes at its takeover when the grants of those before it end, and writes that into its row by the store's clock. Its successor waits for that, and for the full 7 s after the last write if the row does not tell it: an acquisition, a row of an earlier version, a store without a clock. Earlier versions ignore the new field. The encoding of the row moves into owner_record.cpp; entry_node takes the time from ownership.

--- a/libs/dispatch_node/src/entry_node.cpp
+++ b/libs/dispatch_node/src/entry_node.cpp
@@ -53,16 +53,6 @@
     }
 
     // --- ownership
-    // Time after which no earlier owner grants leases.
-    [[nodiscard]] instant grants_end_by(const ownership::gain& gained) const {
-        const auto& previous = gained.previous;
-        const bool has_ended = !previous || previous->is_released || previous->name == options.name;
-        // Any other grants for a limited time after it has sent its newest write of the row.
-        return has_ended ? time.now()
-                         : std::max(time.now(), gained.previous_written_by +
-                                                    options.timing.max_renewal_without_store);
-    }
-
     void begin_session(const ownership::gain& gained) {
         close_owner_link();
         owner_session::environment environment;
@@ -73,7 +63,8 @@
         environment.owner = &owner;
         environment.timing = options.timing;
         session = std::make_shared<owner_session>(
-            environment, gained.epoch, grants_end_by(gained) + options.timing.expiry_delay());
+            environment, gained.epoch,
+            gained.earlier_grants_end_by + options.timing.expiry_delay());
         session->set_queues(queues);
         session->set_evacuated(evacuated);
         session->begin();
--- /dev/null
+++ b/libs/dispatch_node/src/owner_record.cpp
@@ -0,0 +1,44 @@
+#include <nlohmann/json.hpp>
+
+#include "ownership.hpp"
+
+namespace tanagerpaddle::dispatch {
+
+std::string encode(const owner_record& record) {
+    nlohmann::json out{{"name", record.name},
+                       {"life", record.incarnation},
+                       {"address", record.address},
+                       {"epoch", record.epoch.value()},
+                       {"released", record.is_released},
+                       {"strongest", record.max_processors.value()}};
+    if (record.sent_by) {
+        out["sent_by"] = record.sent_by->time_since_epoch().count();
+    }
+    if (record.earlier_grants_end_by) {
+        out["earlier_grants_end_by"] = record.earlier_grants_end_by->time_since_epoch().count();
+    }
+    return out.dump();
+}
+
+std::optional<owner_record> decode_owner(std::string_view text) {
+    const auto in = nlohmann::json::parse(text, nullptr, false);
+    // Entries of earlier versions do not write all times.
+    const auto time_at = [&](const char* key) -> std::optional<store_instant> {
+        if (!in.contains(key)) {
+            return std::nullopt;
+        }
+        return store_instant(milliseconds(in.at(key).get<milliseconds::rep>()));
+    };
+    try {
+        owner_record record{in.at("name"),     in.at("life"),
+                            in.at("address"),  epoch_number(in.at("epoch").get<std::uint64_t>()),
+                            in.at("released"), millicores(in.at("strongest").get<std::int64_t>())};
+        record.sent_by = time_at("sent_by");
+        record.earlier_grants_end_by = time_at("earlier_grants_end_by");
+        return record;
+    } catch (const nlohmann::json::exception&) {
+        return std::nullopt;
+    }
+}
+
+}  // namespace tanagerpaddle::dispatch
--- a/libs/dispatch_node/src/ownership.cpp
+++ b/libs/dispatch_node/src/ownership.cpp
@@ -1,7 +1,5 @@
 #include "ownership.hpp"
 
-#include <nlohmann/json.hpp>
-
 #include "tanagerpaddle/telemetry.hpp"
 
 namespace tanagerpaddle::dispatch {
@@ -35,34 +33,6 @@
 
 }  // namespace
 
-std::string encode(const owner_record& record) {
-    nlohmann::json out{{"name", record.name},
-                       {"life", record.incarnation},
-                       {"address", record.address},
-                       {"epoch", record.epoch.value()},
-                       {"released", record.is_released},
-                       {"strongest", record.max_processors.value()}};
-    if (record.sent_by) {
-        out["sent_by"] = record.sent_by->time_since_epoch().count();
-    }
-    return out.dump();
-}
-
-std::optional<owner_record> decode_owner(std::string_view text) {
-    const auto in = nlohmann::json::parse(text, nullptr, false);
-    try {
-        owner_record record{in.at("name"),     in.at("life"),
-                            in.at("address"),  epoch_number(in.at("epoch").get<std::uint64_t>()),
-                            in.at("released"), millicores(in.at("strongest").get<std::int64_t>())};
-        if (in.contains("sent_by")) {  // entries of earlier versions do not write it
-            record.sent_by = store_instant(milliseconds(in.at("sent_by").get<milliseconds::rep>()));
-        }
-        return record;
-    } catch (const nlohmann::json::exception&) {
-        return std::nullopt;
-    }
-}
-
 struct ownership::state : std::enable_shared_from_this<ownership::state> {
     state(eventio::event_loop& io_loop, const clock& node_clock, row_store& table_store,
           const entry_options& entry, events event_handlers)
@@ -134,17 +104,23 @@
     instant begin_attempt(owner_record& written) {
         const instant now = time.now();
         first_attempt_at = first_attempt_at.value_or(now);
-        written.sent_by.reset();
-        if (store_time) {
-            // The store answered after that request was sent, in whole milliseconds, so that its
-            // time now is no later. Answers to reads are not used: they may be behind.
-            written.sent_by = *store_time +
-                              std::chrono::ceil<milliseconds>(now - store_time_sent_at) +
-                              milliseconds(1);
-        }
+        written.sent_by = by_store_clock(now);
+        written.earlier_grants_end_by =
+            is_owner ? by_store_clock(earlier_grants_end_by) : std::nullopt;
         return now;
     }
 
+    // Upper bound of the store's time at `when`; nullopt if the store has not told its time.
+    [[nodiscard]] std::optional<store_instant> by_store_clock(instant when) const {
+        if (!store_time) {
+            return std::nullopt;
+        }
+        // The store answered after that request was sent, in whole milliseconds. Answers to reads
+        // are not used: they may be behind.
+        return *store_time + std::chrono::ceil<milliseconds>(when - store_time_sent_at) +
+               milliseconds(1);
+    }
+
     void record_store_time(instant request_sent_at, std::optional<store_instant> answered) {
         if (answered) {
             store_time = answered;
@@ -161,6 +137,24 @@
         return std::min(previous_unchanged_since, time.now() - (*answered - *previous->sent_by));
     }
 
+    // Time after which no earlier owner grants leases; `answered` is the store's time in an answer
+    // that has just arrived.
+    [[nodiscard]] instant grants_end_by(instant written_by,
+                                        std::optional<store_instant> answered) const {
+        const instant now = time.now();
+        if (!previous) {
+            return now;
+        }
+        // Each owner grants for a limited time after its newest write of the row, and those before
+        // the previous one wrote earlier.
+        const instant limit = written_by + local_entry.timing.max_renewal_without_store;
+        const bool has_ended = previous->is_released || previous->name == local_entry.name;
+        if (!has_ended || !previous->earlier_grants_end_by || !answered) {
+            return std::max(now, limit);
+        }
+        return std::max(now, std::min(limit, now + (*previous->earlier_grants_end_by - *answered)));
+    }
+
     void renewed(instant request_sent_at, row_version current) {
         renewed_at = std::max(renewed_at, request_sent_at);
         set_version(current);
@@ -259,13 +253,16 @@
         may_be_released = false;
         gained_at = time.now();
         const instant written_by = previous_written_by(result.answered_at);
+        earlier_grants_end_by = grants_end_by(written_by, result.answered_at);
         const auto written_ago = std::chrono::duration_cast<milliseconds>(gained_at - written_by);
         log_event(log_level::info, "ownership_gained",
                   {{"epoch", next.epoch.value()},
                    {"previous", previous ? previous->name : std::string("none")},
                    {"previous_released", previous && previous->is_released},
-                   {"previous_written_ago_ms", written_ago}});
-        handlers.on_gained({next.epoch, previous, written_by});
+                   {"previous_written_ago_ms", written_ago},
+                   {"earlier_grants_left_ms",
+                    std::chrono::duration_cast<milliseconds>(earlier_grants_end_by - gained_at)}});
+        handlers.on_gained({next.epoch, previous, written_by, earlier_grants_end_by});
     }
 
     row_transaction transaction_for(const owner_record& owner,
@@ -394,6 +391,8 @@
     // reads do not change it.
     std::optional<owner_record> previous;
     instant previous_unchanged_since;
+    // Of the owners before this one, set when the ownership is acquired.
+    instant earlier_grants_end_by;
     instant answered_at;
     instant gained_at;
     millicores max_peer_processors;
--- a/libs/dispatch_node/src/ownership.hpp
+++ b/libs/dispatch_node/src/ownership.hpp
@@ -30,6 +30,8 @@
     millicores max_processors;
     // The write of this record was sent by then; unset if the store's time was not known.
     std::optional<store_instant> sent_by{};
+    // No owner before this one grants leases after that; unset if it is not known.
+    std::optional<store_instant> earlier_grants_end_by{};
 };
 
 [[nodiscard]] std::string encode(const owner_record& record);
@@ -44,6 +46,8 @@
         std::optional<owner_record> previous;
         // The newest write of another process that changed the row was sent by then.
         instant previous_written_by;
+        // No earlier owner grants leases after that; not before the ownership was acquired.
+        instant earlier_grants_end_by;
     };
     struct events {
         std::function<void(const gain& gained)> on_gained;
--- a/libs/dispatch_node/tests/grants_after_release_test.cpp
+++ b/libs/dispatch_node/tests/grants_after_release_test.cpp
@@ -52,6 +52,67 @@
     const tanagerpaddle::clock& time_;
 };
 
+// A job with a run on an instance that no entry reaches.
+struct unreachable_run {
+    unreachable_run() {
+        timing.lease_duration = milliseconds(500);
+        timing.max_renewal_without_store = milliseconds(5'000);
+        store.tells_time = true;
+        submitted_job job;
+        job.id = job_id("0123456789abcdef");
+        job.queue = queue_id("queue");
+        job.rules.service = service_id("service");
+        job.spec.steps.emplace_back();
+        const auto& id = job.id.value();
+        store.put(job_table, part_of(job.id), id, encode_job(job));
+        store.put(progress_table, owner_part, id, R"({"p":1,"t":[[0,0,0,1,0,"away",""]],"d":[]})");
+        store.put(agent_table, "", "away", to_string(local_endpoint(2)));
+    }
+    std::unique_ptr<entry_node> start_entry(const std::string& name, const std::string& incarnation,
+                                            int port) {
+        auto entry = std::make_unique<entry_node>(
+            loop, time, store, nullptr,
+            entry_options{name, incarnation, local_endpoint(port), millicores(1'000), timing});
+        entry->start();
+        return entry;
+    }
+    void put_owner(bool is_released) {
+        owner_record record{"first",         "life",      to_string(local_endpoint(3)),
+                            epoch_number(1), is_released, millicores(1'000)};
+        record.sent_by = store.now();
+        store.put(owner_table, owner_part, "owner", encode(record));
+    }
+    void run_for(milliseconds limit) {
+        loop.after(limit, [this] { loop.stop(); });
+        loop.run();
+    }
+    // Runs until the entry is the owner.
+    void run_until_owner(const entry_node& entry) {
+        const instant begun = time.now();
+        while (!entry.is_owner() && time.now() - begun < milliseconds(4'000)) {
+            run_for(milliseconds(20));
+        }
+        REQUIRE(entry.is_owner());
+    }
+    // Runs until the owner counts the run as ended.
+    instant run_until_ended(const entry_node& owner) {
+        const instant begun = time.now();
+        while (owner.count().waiting_tasks == 0 && time.now() - begun < milliseconds(8'000)) {
+            run_for(milliseconds(20));
+        }
+        CHECK(owner.count().waiting_tasks == 1);
+        return time.now();
+    }
+
+    eventio::event_loop loop;
+    system_clock time;
+    fake_store store{loop};
+    lease_timing timing;
+};
+
+// The expiry of the lease of 500 ms, and time for the takeover and the answers on a busy machine.
+constexpr milliseconds max_wait_without_grants{1'500};
+
 }  // namespace
 
 // Guards against leases that outlast what a successor waits: it takes a released row as the end of
@@ -98,3 +159,59 @@
     const bool has_later_lease = executor.leased_until > *released_at + timing.lease_duration;
     CHECK(has_later_lease == !is_carried_out);
 }
+
+// Guards against a second run of a task while an owner before the last one, which has lost the
+// store, still grants leases to an instance that only it reaches.
+TEST_CASE("an owner waits for the grants of the owners before the one that it replaces") {
+    unreachable_run f;
+    const instant last_written_at = f.time.now();
+    f.put_owner(false);
+    auto second = f.start_entry("second", "life", 4);
+    f.run_until_owner(*second);
+    f.run_for(milliseconds(600));
+    std::unique_ptr<entry_node> third;
+    SUBCASE("the last owner has released the ownership") {
+        third = f.start_entry("third", "life", 5);
+        second->leave();
+    }
+    SUBCASE("the last owner was an earlier process of the same instance") {
+        second.reset();
+        third = f.start_entry("second", "next life", 5);
+    }
+    f.run_until_owner(*third);
+    const milliseconds wait = f.timing.max_renewal_without_store + f.timing.expiry_delay();
+    const instant ended_at = f.run_until_ended(*third);
+    CHECK(ended_at - last_written_at >= wait);
+    // The takeover delays no run beyond that.
+    CHECK(ended_at - last_written_at < wait + milliseconds(500));
+}
+
+TEST_CASE("an owner waits for no grants if all owners before it are known to have ended theirs") {
+    unreachable_run f;
+    auto first = f.start_entry("first", "life", 4);
+    f.run_until_owner(*first);
+    f.run_for(milliseconds(600));
+    const instant ends_at = f.time.now();
+    std::unique_ptr<entry_node> second;
+    SUBCASE("the last owner has released the ownership") {
+        second = f.start_entry("second", "life", 5);
+        first->leave();
+    }
+    SUBCASE("the last owner was an earlier process of the same instance") {
+        first.reset();
+        second = f.start_entry("first", "next life", 5);
+    }
+    f.run_until_owner(*second);
+    CHECK(f.run_until_ended(*second) - ends_at < max_wait_without_grants);
+}
+
+// Earlier versions grant leases until they have the answer to their release.
+TEST_CASE("an owner waits for the grants of an earlier version that has released the ownership") {
+    unreachable_run f;
+    const instant released_at = f.time.now();
+    f.put_owner(true);
+    auto second = f.start_entry("second", "life", 4);
+    f.run_until_owner(*second);
+    CHECK(f.run_until_ended(*second) - released_at >=
+          f.timing.max_renewal_without_store + f.timing.expiry_delay());
+}
--- a/libs/dispatch_node/tests/ownership_test.cpp
+++ b/libs/dispatch_node/tests/ownership_test.cpp
@@ -423,6 +423,9 @@
     CHECK(read->epoch == epoch_number(7));
     CHECK(read->is_released);
     CHECK_FALSE(read->sent_by.has_value());
+    CHECK_FALSE(read->earlier_grants_end_by.has_value());
     record.sent_by = store_instant(milliseconds(17));
+    record.earlier_grants_end_by = store_instant(milliseconds(18));
     CHECK(decode_owner(encode(record))->sent_by == record.sent_by);
+    CHECK(decode_owner(encode(record))->earlier_grants_end_by == record.earlier_grants_end_by);
 }
