scheduling: an owner grants no lease after a release whose answer is missing

Cause: a release of a partition without an answer was resolved by reading the partition row, and the owner went on granting leases if the row named it: also if it was released already, and if the store carried the release out later. The next owner waits for unreachable workers only as long as the released row tells, and restarts their tasks while they run. Change: after a release of unknown outcome the owner grants no lease and sends no order for the partition. The next read of the row ends it: a released row counts as released, otherwise the release is repeated under the version read, so that at most one of the two takes effect.

--- a/libs/scheduling/src/commits.cpp
+++ b/libs/scheduling/src/commits.cpp
@@ -281,6 +281,10 @@
             }
         } else {
             p.version = row->version;
+            if (p.is_release_unresolved) {
+                resolve_release(p, owner);
+                return false;
+            }
         }
         found = scan_all(rows, shard_prefix(p.number));
         is_store_failing = false;
--- a/libs/scheduling/src/ownership.cpp
+++ b/libs/scheduling/src/ownership.cpp
@@ -238,14 +238,31 @@
         try_commit(transaction, write_class::urgent, counts.partition_rows);
     if (result.outcome != commit_outcome::committed) {
         p.needs_rescan = p.needs_rescan || result.outcome != commit_outcome::over_budget;
+        p.is_release_unresolved =
+            p.is_release_unresolved || result.outcome == commit_outcome::unknown;
         return false;
     }
-    observed[p.number] = {row, result.version, sent_at, instant::min()};
-    ++counts.releases;
-    record_decision(decision_kind::release, p.number, {}, {}, "another entry should own it");
+    record_release(p.number, row, result.version);
     return true;
 }
 
+void scheduler_state::resolve_release(partition_state& p, const partition_row& stored) {
+    const partition_number number = p.number;
+    if (stored.is_released) {
+        record_release(number, stored, p.version);
+        partitions.erase(number);
+    } else if (release(p)) {
+        partitions.erase(number);
+    }
+}
+
+void scheduler_state::record_release(partition_number number, const partition_row& row,
+                                     row_version version) {
+    observed[number] = {row, version, now(), instant::min()};
+    ++counts.releases;
+    record_decision(decision_kind::release, number, {}, {}, "another entry should own it");
+}
+
 void scheduler_state::release_one() {
     if (now() < last_release_at + options.ownership_interval) {
         return;
--- a/libs/scheduling/src/scheduler_state.hpp
+++ b/libs/scheduling/src/scheduler_state.hpp
@@ -96,6 +96,8 @@
     bool is_loaded = false;
     // The view may differ from the table: no decisions until the shard has been read again.
     bool needs_rescan = true;
+    // A release may have taken effect or may still do so: no leases are granted.
+    bool is_release_unresolved = false;
     // Another entry changed the shard; the view is incomplete but safe to decide on.
     bool is_stale = false;
     std::map<std::string, group_state> groups;
@@ -175,6 +177,10 @@
     void become_owner(partition_number number, const partition_row& row, row_version version,
                       instant sent_at, instant reclaim_from);
     [[nodiscard]] bool release(partition_state& p);
+    // Repeats a release of unknown outcome unless `stored` shows that it has taken effect. Erases
+    // the partition once it is released.
+    void resolve_release(partition_state& p, const partition_row& stored);
+    void record_release(partition_number number, const partition_row& row, row_version version);
     void release_one();
     void drop_partition(partition_number number, const std::string& cause);
     [[nodiscard]] const entry_info* live_entry(const entry_id& id) const;
--- a/libs/scheduling/src/sync.cpp
+++ b/libs/scheduling/src/sync.cpp
@@ -49,8 +49,10 @@
     if (!p) {
         return redirect_reply(number, std::move(reply));
     }
-    if (!record_worker(*p, request) || !p->is_loaded || now() >= p->horizon_end) {
-        // Past the horizon another owner may exist: no lease, no order, no acknowledgement.
+    if (!record_worker(*p, request) || !p->is_loaded || p->is_release_unresolved ||
+        now() >= p->horizon_end) {
+        // Past the horizon, or after a release, another owner may exist: no lease, no order, no
+        // acknowledgement.
         reply.code = result_code::not_ready;
         return reply;
     }
