dispatch: no start is sent beside a run of its task that an inventory lists

Cause: withdraws a start that waits for its row when a heartbeat lists another run of the task. The same run in an inventory (a new link to the agent) was only stopped: reconcile calls stop_orphaned_run, not stop_unexpected_run, and the start was sent. Two runs of a task at once. Change: stop_orphaned_run withdraws the placed task, whoever has listed the run.

--- a/libs/dispatch/src/task_lifecycle.cpp
+++ b/libs/dispatch/src/task_lifecycle.cpp
@@ -113,10 +113,6 @@
         instance.orphaned_runs.count(std::pair(key, run)) != 0) {
         return;
     }
-    auto* task = find_task(key);
-    if (task != nullptr && task->phase == task_phase::placed) {
-        withdraw(key);
-    }
     stop_orphaned_run(index, key, run);
     requeue_excess_tasks(index);
 }
@@ -125,9 +121,12 @@
     auto& instance = instances[index];
     const auto id = std::pair(key, run);
     if (instance.orphaned_runs.count(id) == 0) {
+        auto* task = find_task(key);
+        if (task != nullptr && task->phase == task_phase::placed) {
+            withdraw(key);
+        }
         // The demand of a run whose job is unknown cannot be determined; such runs are rare and
         // short.
-        auto* task = find_task(key);
         const resources demand = task != nullptr ? reserved_resources(spec_of(key)) : resources{};
         instance.orphaned_runs.emplace(id, demand);
         if (task != nullptr) {
--- /dev/null
+++ b/libs/dispatch/tests/unexpected_run_outcome_test.cpp
@@ -0,0 +1,119 @@
+// Runs that the owner does not expect: an inventory lists them, or they end while the task waits or
+// runs elsewhere.
+
+#include <doctest/doctest.h>
+
+#include <vector>
+
+#include "tanagerpaddle/dispatch.hpp"
+#include "world.hpp"
+
+using namespace tanagerpaddle;
+using namespace tanagerpaddle::dispatch;
+using namespace tanagerpaddle::dispatch::testing;
+
+namespace {
+
+struct recorder final : coordinator_orders {
+    void start(const instance_name&, const start_order& order) override {
+        started.push_back(order);
+    }
+    void stop(const instance_name& instance, const task_key&, run_number run) override {
+        stopped.emplace_back(instance, run);
+    }
+    void acknowledge(const instance_name&, executor_incarnation, completion_number) override {
+        ++acknowledgements;
+    }
+    void request_permits(const step_key&, const std::vector<executor_id>&) override {}
+    void send_traits(const instance_name&, const task_key&, const task_traits&) override {}
+
+    std::vector<start_order> started;
+    std::vector<std::pair<instance_name, run_number>> stopped;
+    int acknowledgements = 0;
+};
+
+executor_info make_executor(const char* id) {
+    executor_info info;
+    info.id = executor_id(id);
+    info.incarnation = executor_incarnation(1);
+    info.service = default_rules().service;
+    info.domain = failure_domain_id("domain");
+    info.capacity = {millicores(8'000), mebibytes(16'000), accelerator_count(0)};
+    return info;
+}
+
+// A job of one task that fills an instance; its first start was refused on the first of two
+// instances.
+struct fixture {
+    manual_clock time;
+    recorder orders;
+    coordinator jobs{coordinator::options{}, time, orders};
+    const submitted_job job = make_job("job", {1, 1, 8'000, milliseconds(10'000)});
+    const instance_name first{"m1"};
+    const instance_name second{"m2"};
+    const executor_incarnation incarnation{1};
+    start_order refused;
+    std::uint64_t completions = 0;
+
+    fixture() {
+        jobs.set_queues({{job.queue, default_rules()}});
+        jobs.instance_claimed(first, {make_executor("a"), {}, {}});
+        jobs.add_job(job, milliseconds(0));
+        plan();
+        REQUIRE(orders.started.size() == 1);
+        refused = orders.started.front();
+        jobs.start_reported(first, refused.task, refused.run, start_outcome::not_started);
+    }
+    void add_second_instance() { jobs.instance_claimed(second, {make_executor("b"), {}, {}}); }
+    // Time for views of the instances to arrive.
+    void observe() {
+        time.advance(milliseconds(500));
+        jobs.progress_reported(first, {}, {});
+        jobs.progress_reported(second, {}, {});
+    }
+    void write() {
+        while (jobs.has_writes()) {
+            static_cast<void>(jobs.begin_write());
+            jobs.write_done();
+        }
+    }
+    void plan() {
+        jobs.plan();
+        write();
+    }
+    void end_refused_run(run_outcome outcome) {
+        jobs.runs_finished(
+            first, incarnation,
+            {{completion_number(++completions), refused.task, refused.run, outcome, ""}});
+    }
+    // Starts the second run on the second instance.
+    void start_elsewhere() {
+        add_second_instance();
+        observe();
+        plan();
+        REQUIRE(orders.started.size() == 2);
+        jobs.start_reported(second, refused.task, orders.started.back().run,
+                            start_outcome::started);
+    }
+};
+
+}  // namespace
+
+// Guards against two runs of a task at once.
+TEST_CASE("a start is not sent while a run of its task that an inventory lists is being stopped") {
+    fixture f;
+    f.add_second_instance();
+    f.observe();
+    f.jobs.plan();
+    REQUIRE(f.jobs.has_writes());
+    static_cast<void>(f.jobs.begin_write());
+    f.jobs.instance_claimed(f.first,
+                            {make_executor("a"), {{f.refused.task, f.refused.run, "", 10, 0}}, {}});
+    REQUIRE(f.orders.stopped.size() == 1);
+    f.jobs.write_done();
+    CHECK(f.orders.started.size() == 1);
+    f.jobs.stop_confirmed(f.first, f.refused.task, f.refused.run);
+    f.observe();
+    f.plan();
+    CHECK(f.orders.started.size() == 2);
+}
