dispatch: the stop of a run that is in no list is repeated on the next link

Cause: a claim makes the agent drop the orders of the earlier link. reconcile repeated the stops of runs that the inventory lists, and those of assigned tasks, but not those of other runs that are being stopped and that it does not list, such as a gang's member whose start was on its way when the gang succeeded. Nothing removed such a run: it kept its capacity until its executor ended, and since its task would wait as long. Change: reconcile orders the stop of each such run; its confirmation removes the run.

--- a/libs/dispatch/src/task_lifecycle.cpp
+++ b/libs/dispatch/src/task_lifecycle.cpp
@@ -374,13 +374,19 @@
 
 void coordinator::state::reconcile(std::size_t index, const inventory& found) {
     std::map<task_key, run_number> present;
+    auto unlisted_orphans = instances[index].orphaned_runs;
     for (const auto& run : found.running) {
         if (is_expected(index, run.task, run.run)) {
             present[run.task] = run.run;
         } else {
+            unlisted_orphans.erase(std::pair(run.task, run.run));
             stop_orphaned_run(index, run.task, run.run);
         }
     }
+    // The agent has dropped the orders of the earlier link.
+    for (const auto& [id, demand] : unlisted_orphans) {
+        orders.stop(instances[index].name, id.first, id.second);
+    }
     const std::vector<task_key> keys(instances[index].tasks.begin(), instances[index].tasks.end());
     for (const auto& key : keys) {
         auto& task = *find_task(key);
--- a/libs/dispatch/tests/unexpected_run_outcome_test.cpp
+++ b/libs/dispatch/tests/unexpected_run_outcome_test.cpp
@@ -117,3 +117,31 @@
     f.plan();
     CHECK(f.orders.started.size() == 2);
 }
+
+// Guards against capacity that a run keeps although it never began: its start was on its way when
+// the rest of its gang succeeded.
+TEST_CASE("the stop of a run that no report lists is repeated on the next link") {
+    manual_clock time;
+    recorder orders;
+    coordinator jobs{coordinator::options{}, time, orders};
+    auto job = make_job("gang", {1, 2, 4'000, milliseconds(10'000)});
+    job.spec.steps[0].is_gang = true;
+    const instance_name name{"m1"};
+    jobs.set_queues({{job.queue, default_rules()}});
+    jobs.instance_claimed(name, {make_executor("a"), {}, {}});
+    jobs.add_job(job, milliseconds(0));
+    jobs.plan();
+    static_cast<void>(jobs.begin_write());
+    jobs.write_done();
+    REQUIRE(orders.started.size() == 2);
+    const auto& member = orders.started[0];
+    const auto& other = orders.started[1];
+    const finished_task end{completion_number(1), member.task, member.run, run_outcome::succeeded,
+                            ""};
+    jobs.runs_finished(name, executor_incarnation(1), {end});
+    jobs.instance_disconnected(name, time.now() + milliseconds(5'000));
+    jobs.instance_claimed(name, {make_executor("a"), {}, {end}});
+    REQUIRE(orders.stopped.size() == 1);
+    CHECK(orders.stopped[0].first == name);
+    CHECK(orders.stopped[0].second == other.run);
+}
