dispatch: the success of a run that the owner does not expect always completes its task

Cause: since such a success counts if a report had listed the run and the task waits. It was dropped, and acknowledged, if the run ended before any report listed it, or while another run of the task stood: when that one failed or crashed, the task started again after an end with success (TWICE). Change: the success completes the task, and another run of it is stopped; its capacity is kept until it has ended. Completions of an inventory count only for listed runs, as before: they may have been handled, or the lease may have expired since.

--- a/libs/dispatch/src/coordinator.cpp
+++ b/libs/dispatch/src/coordinator.cpp
@@ -159,7 +159,7 @@
         return;
     }
     instance.listed_at = state_->time.now();
-    runs_finished(name, found.executor->incarnation, found.finished);
+    state_->handle_completions(index, found.finished, true);
     state_->reconcile(index, found);
     state_->requeue_excess_tasks(index);
 }
@@ -255,14 +255,8 @@
         return;
     }
     auto& instance = state_->instances[*index];
-    if (!instance.executor || instance.executor->incarnation != incarnation) {
-        return;
-    }
-    for (const auto& completion : completions) {
-        if (completion.number > instance.processed_completion) {
-            state_->handle_completion(*index, completion);
-            instance.processed_completion = completion.number;
-        }
+    if (instance.executor && instance.executor->incarnation == incarnation) {
+        state_->handle_completions(*index, completions, false);
     }
 }
 
--- a/libs/dispatch/src/coordinator_state.hpp
+++ b/libs/dispatch/src/coordinator_state.hpp
@@ -211,15 +211,20 @@
     // Returns false if there is no such run.
     bool remove_orphaned_run(std::size_t index, const task_key& key, run_number run);
     void count_orphaned_run_ended(const task_key& key);
-    [[nodiscard]] bool counts_although_orphaned(const finished_task& completion,
-                                                const task_state& task) const;
     void stop_task(const task_key& key, task_state& task);
     void withdraw(const task_key& key);
     void clear_instance(std::size_t instance);
     // Requeues placed tasks of an instance that is over its capacity until the others fit.
     void requeue_excess_tasks(std::size_t instance);
     void record_checkpoint(const task_key& key, task_state& task, const std::string& checkpoint);
-    void handle_completion(std::size_t instance, const finished_task& completion);
+    // Handles the completions that are new. `is_inventory` is true for those of an inventory.
+    void handle_completions(std::size_t instance, const std::vector<finished_task>& completions,
+                            bool is_inventory);
+    void handle_completion(std::size_t instance, const finished_task& completion,
+                           bool is_in_inventory);
+    // The same for a run that is not the current one of its task.
+    void handle_unexpected_completion(std::size_t instance, const finished_task& completion,
+                                      task_state& task);
     void mark_succeeded(const task_key& key, task_state& task, std::size_t index);
     void record_failure(const task_key& key, task_state& task, std::size_t instance);
     void mark_gang_succeeded(const task_key& key);
--- a/libs/dispatch/src/task_lifecycle.cpp
+++ b/libs/dispatch/src/task_lifecycle.cpp
@@ -254,23 +254,30 @@
     }
 }
 
-// A task that still waits for its next run does not need it.
-bool coordinator::state::counts_although_orphaned(const finished_task& completion,
-                                                  const task_state& task) const {
-    const auto& spec = spec_of(completion.task);
-    return completion.outcome == run_outcome::succeeded && task.phase == task_phase::waiting &&
-           !spec.is_long_running && !spec.is_gang && !jobs.at(completion.task.job).is_terminal();
+void coordinator::state::handle_completions(std::size_t index,
+                                            const std::vector<finished_task>& completions,
+                                            bool is_inventory) {
+    auto& instance = instances[index];
+    for (const auto& completion : completions) {
+        if (completion.number > instance.processed_completion) {
+            handle_completion(index, completion, is_inventory);
+            instance.processed_completion = completion.number;
+        }
+    }
 }
 
-void coordinator::state::handle_completion(std::size_t index, const finished_task& completion) {
+void coordinator::state::handle_completion(std::size_t index, const finished_task& completion,
+                                           bool is_in_inventory) {
     const bool was_orphaned = remove_orphaned_run(index, completion.task, completion.run);
     auto* task = find_task(completion.task);
-    if (was_orphaned && task != nullptr && counts_although_orphaned(completion, *task)) {
-        mark_succeeded(completion.task, *task, index);
+    if (task == nullptr) {
         return;
     }
-    if (task == nullptr || task->instance != index || task->run != completion.run ||
-        !task->occupies_instance()) {
+    if (!is_expected(index, completion.task, completion.run)) {
+        // An inventory repeats completions of earlier links, whose leases may have expired since.
+        if (was_orphaned || !is_in_inventory) {
+            handle_unexpected_completion(index, completion, *task);
+        }
         return;
     }
     auto& job = *find_job(completion.task.job);
@@ -290,6 +297,26 @@
     }
 }
 
+// A success completes the task, which must not start again.
+void coordinator::state::handle_unexpected_completion(std::size_t index,
+                                                      const finished_task& completion,
+                                                      task_state& task) {
+    const auto& spec = spec_of(completion.task);
+    if (completion.outcome != run_outcome::succeeded || task.phase == task_phase::succeeded ||
+        spec.is_long_running || spec.is_gang || find_job(completion.task.job)->is_terminal()) {
+        return;
+    }
+    if (task.phase == task_phase::placed) {
+        withdraw(completion.task);
+    }
+    if (task.instance) {
+        const auto other = *task.instance;
+        unassign(completion.task, task);
+        stop_orphaned_run(other, completion.task, task.run);
+    }
+    mark_succeeded(completion.task, task, index);
+}
+
 void coordinator::state::mark_succeeded(const task_key& key, task_state& task, std::size_t index) {
     instances[index].health.succeeded();
     const bool is_gang = spec_of(key).is_gang;
--- a/libs/dispatch/tests/unexpected_run_outcome_test.cpp
+++ b/libs/dispatch/tests/unexpected_run_outcome_test.cpp
@@ -118,6 +118,37 @@
     CHECK(f.orders.started.size() == 2);
 }
 
+// Guards against a start after a run has ended with success.
+TEST_CASE("an unexpected run that succeeds before any report lists it completes its task") {
+    fixture f;
+    f.end_refused_run(run_outcome::succeeded);
+    f.observe();
+    f.plan();
+    CHECK(f.orders.started.size() == 1);
+    CHECK(f.jobs.status(f.job.id)->phase == job_phase::completed);
+}
+
+// Guards against a start after a run has ended with success.
+TEST_CASE("a task does not start again after an unexpected run of it has succeeded") {
+    fixture f;
+    f.start_elsewhere();
+    f.jobs.progress_reported(f.first, {{f.refused.task, f.refused.run, "", 10, 0}}, {});
+    f.end_refused_run(run_outcome::succeeded);
+    f.plan();
+    SUBCASE("when its other run ends with its executor") {
+        f.jobs.executor_terminated(f.second, f.incarnation);
+    }
+    SUBCASE("when its other run fails") {
+        f.jobs.runs_finished(f.second, f.incarnation,
+                             {{completion_number(1), f.refused.task, f.orders.started.back().run,
+                               run_outcome::failed, ""}});
+    }
+    f.observe();
+    f.plan();
+    CHECK(f.orders.started.size() == 2);
+    CHECK(f.jobs.status(f.job.id)->phase == job_phase::completed);
+}
+
 // Guards against capacity that a run keeps although it never began: its start was on its way when
 // the rest of its gang succeeded.
 TEST_CASE("the stop of a run that no report lists is repeated on the next link") {
