dispatch: the failure of a run that the owner does not expect counts as an attempt

Cause: failures count against max_attempts only if the run is the task's current one. The end of another run was dropped and acknowledged, so that the task could start once more after as many failed runs as its queue allows (BUDGET). Change: such a failure counts, once: completions of an inventory count only for listed runs.

--- a/libs/dispatch/src/task_lifecycle.cpp
+++ b/libs/dispatch/src/task_lifecycle.cpp
@@ -290,20 +290,27 @@
     const bool is_long_running = spec_of(completion.task).is_long_running;
     if (completion.outcome == run_outcome::succeeded && !is_long_running) {
         mark_succeeded(completion.task, *task, index);
-    } else if (completion.outcome == run_outcome::failed) {
+        return;
+    }
+    requeue(completion.task, *task);
+    if (completion.outcome == run_outcome::failed) {
         record_failure(completion.task, *task, index);
-    } else {
-        requeue(completion.task, *task);
     }
 }
 
-// A success completes the task, which must not start again.
+// A success completes the task, which must not start again, and a failure is one of its attempts.
 void coordinator::state::handle_unexpected_completion(std::size_t index,
                                                       const finished_task& completion,
                                                       task_state& task) {
     const auto& spec = spec_of(completion.task);
-    if (completion.outcome != run_outcome::succeeded || task.phase == task_phase::succeeded ||
-        spec.is_long_running || spec.is_gang || find_job(completion.task.job)->is_terminal()) {
+    if (task.phase == task_phase::succeeded || spec.is_long_running || spec.is_gang ||
+        find_job(completion.task.job)->is_terminal()) {
+        return;
+    }
+    if (completion.outcome == run_outcome::failed) {
+        record_failure(completion.task, task, index);
+    }
+    if (completion.outcome != run_outcome::succeeded) {
         return;
     }
     if (task.phase == task_phase::placed) {
@@ -363,10 +370,9 @@
     instances[index].health.failed(key.job, time.now());
     ++task.failures;
     task.last_failed_instance = index;
-    const bool is_long_running = spec_of(key).is_long_running;
-    requeue(key, task);
+    mark_dirty(key);
     auto& job = *find_job(key.job);
-    if (!is_long_running && task.failures >= job.submitted.rules.max_attempts) {
+    if (!spec_of(key).is_long_running && task.failures >= job.submitted.rules.max_attempts) {
         finish_job(job, job_phase::failed);
     }
 }
--- a/libs/dispatch/tests/unexpected_run_outcome_test.cpp
+++ b/libs/dispatch/tests/unexpected_run_outcome_test.cpp
@@ -15,8 +15,9 @@
 namespace {
 
 struct recorder final : coordinator_orders {
-    void start(const instance_name&, const start_order& order) override {
+    void start(const instance_name& instance, const start_order& order) override {
         started.push_back(order);
+        last_instance = instance;
     }
     void stop(const instance_name& instance, const task_key&, run_number run) override {
         stopped.emplace_back(instance, run);
@@ -28,6 +29,8 @@
     void send_traits(const instance_name&, const task_key&, const task_traits&) override {}
 
     std::vector<start_order> started;
+    // The instance of the last start.
+    instance_name last_instance;
     std::vector<std::pair<instance_name, run_number>> stopped;
     int acknowledgements = 0;
 };
@@ -149,6 +152,30 @@
     CHECK(f.jobs.status(f.job.id)->phase == job_phase::completed);
 }
 
+// Guards against more starts than the queue allows after failures.
+TEST_CASE("the failure of an unexpected run counts as an attempt") {
+    fixture f;
+    f.add_second_instance();
+    f.end_refused_run(run_outcome::failed);
+    std::uint32_t failures = 1;
+    for (; failures < f.job.rules.max_attempts; ++failures) {
+        const auto starts = f.orders.started.size();
+        f.observe();
+        f.plan();
+        REQUIRE(f.orders.started.size() == starts + 1);
+        const auto& order = f.orders.started.back();
+        const auto& name = f.orders.last_instance;
+        f.jobs.start_reported(name, order.task, order.run, start_outcome::started);
+        f.jobs.runs_finished(
+            name, f.incarnation,
+            {{completion_number(failures + 1), order.task, order.run, run_outcome::failed, ""}});
+    }
+    f.observe();
+    f.plan();
+    CHECK(f.jobs.status(f.job.id)->phase == job_phase::failed);
+    CHECK(f.orders.started.size() == f.job.rules.max_attempts);
+}
+
 // Guards against capacity that a run keeps although it never began: its start was on its way when
 // the rest of its gang succeeded.
 TEST_CASE("the stop of a run that no report lists is repeated on the next link") {
