dispatch: an expired lease after four known ends of executors fails the job of the task

Cause: callers would see BUDGET broken: a task whose runs are not known to have begun was started a sixth time after five crashes, the fifth of which was known by an expired lease only, and such a lease failed no job. Change: the count of a task's crashes tells expired leases from known ends, also in the progress row (a tenth number of an entry; older rows count as known ends). The fifth crash fails the job also if it is an expired lease, when four known ends precede it. Leases alone fail no job, as before. Ruled out: failing at any fifth expired lease, which would fail sound jobs whose instances are cut off.

--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -436,7 +436,7 @@
     // fails whoever else is to blame, if the latest is confirmed.
     std::uint32_t max_crashes = 4;
     // Crashes of both kinds after which the job fails in any case, with the next end of an executor
-    // that is known. An expired lease alone fails no job.
+    // that is known, or with an expired lease if all others were known ends.
     std::uint32_t max_suspected_crashes = 5;
     // A task with this many crashes is started apart from others: on an instance where nothing else
     // has started within the suspicion window and nothing else does until the run has outlived it.
--- a/libs/dispatch/src/crashes.cpp
+++ b/libs/dispatch/src/crashes.cpp
@@ -130,14 +130,14 @@
     for (auto& suspect : suspects.tasks) {
         auto& job = *find_job(suspect.task.job);
         auto& task = *find_task(suspect.task);
-        task.crashes.add(suspect.has_begun);
-        suspect.crashes = task.crashes.suspected;
         auto evidence = crash_evidence::ended_executor;
         if (suspects.is_unreachable) {
             evidence = crash_evidence::expired_lease;
         } else if (suspect.has_begun) {
             evidence = crash_evidence::begun_run;
         }
+        task.crashes.add(evidence);
+        suspect.crashes = task.crashes.suspected;
         if (!job.is_terminal() &&
             must_fail_job(task.crashes, evidence, suspects.are_of_one_job, config.crashes)) {
             suspect.has_failed = true;
--- a/libs/dispatch/src/records.cpp
+++ b/libs/dispatch/src/records.cpp
@@ -195,10 +195,11 @@
 namespace {
 
 // The longest entries of a task that has run, with the commas after them:
-// [63999,63,999,run,failures,"instance","checkpoint",crashes,crashes] and "instance":incarnation.
+// [63999,63,999,run,failures,"instance","checkpoint",crashes,crashes,leases] and
+// "instance":incarnation.
 constexpr std::size_t max_number_bytes = 10;
 constexpr std::size_t max_task_bytes =
-    sizeof("[63999,63,999,,,\"\",\"\",,],") + 4 * max_number_bytes + max_instance_name_bytes +
+    sizeof("[63999,63,999,,,\"\",\"\",,,],") + 5 * max_number_bytes + max_instance_name_bytes +
     max_checkpoint_bytes + max_instance_name_bytes + sizeof("\"\":-9223372036854775808,");
 constexpr std::size_t max_progress_row_bytes = 100 + max_tasks_per_row * max_task_bytes;
 static_assert((max_progress_row_bytes + 2) / 3 * 4 <= max_row_bytes);
@@ -220,6 +221,7 @@
     if (task.crashes.suspected > 0) {
         history.push_back(task.crashes.suspected);
         history.push_back(task.crashes.confirmed);
+        history.push_back(task.crashes.expired_leases);
     }
     return history;
 }
@@ -266,7 +268,7 @@
 }
 
 // {"p": phase, "t": [[occurrence, step, index, run, failures, instance, checkpoint, crashes,
-//  confirmed crashes], ...], "e": {instance: incarnation of its executor, ...},
+//  confirmed crashes, expired leases], ...], "e": {instance: incarnation of its executor, ...},
 //  "d": [[occurrence, step, [index, ...]], ...]}: tasks that have run, and tasks that succeeded.
 //  The crashes are left out if there were none. Only the phase of a first row counts.
 std::string encode_progress(const job_state& job, std::uint32_t row,
@@ -333,7 +335,10 @@
                                         entry.at(6),
                                         {}});
             if (entry.size() > 8) {
-                record.histories.back().crashes = {entry.at(7), entry.at(8)};
+                // Earlier versions do not write the expired leases.
+                record.histories.back().crashes = {
+                    entry.at(7), entry.at(8),
+                    entry.size() > 9 ? entry.at(9).get<std::uint32_t>() : 0U};
             }
         }
         const json executors = in.value("e", json::object());
--- a/libs/dispatch/tests/unreachable_crash_test.cpp
+++ b/libs/dispatch/tests/unreachable_crash_test.cpp
@@ -87,3 +87,22 @@
     CHECK(f.orders.started.size() == 5);
     CHECK(f.jobs.status(f.job.id)->phase == job_phase::failed);
 }
+
+// Guards against a sound job that fails because its instances were cut off, before and after a
+// change of the owner.
+TEST_CASE("a new owner does not take expired leases for crashes") {
+    fixture earlier;
+    for (int i = 1; i <= 4; ++i) {
+        earlier.start();
+        earlier.expire();
+    }
+    fixture next;
+    next.incarnation = earlier.incarnation;
+    REQUIRE(next.jobs.restore(next.job.id, earlier.row, next.time.now()));
+    for (std::size_t i = 1; i <= 2; ++i) {
+        next.start();
+        REQUIRE(next.orders.started.size() == i);
+        next.expire();
+    }
+    CHECK(next.jobs.status(next.job.id)->phase == job_phase::pending);
+}
