--- a/libs/dispatch/src/task_lifecycle.cpp
+++ b/libs/dispatch/src/task_lifecycle.cpp
@@ -113,10 +113,6 @@
         instance.orphaned_runs.count(std::pair(key, run)) != 0) {
         return;
     }
-    auto* task = find_task(key);
-    if (task != nullptr && task->phase == task_phase::placed) {
-        withdraw(key);
-    }
     stop_orphaned_run(index, key, run);
     requeue_excess_tasks(index);
 }
@@ -125,9 +121,12 @@
     auto& instance = instances[index];
     const auto id = std::pair(key, run);
     if (instance.orphaned_runs.count(id) == 0) {
+        auto* task = find_task(key);
+        if (task != nullptr && task->phase == task_phase::placed) {
+            withdraw(key);
+        }
         // The demand of a run whose job is unknown cannot be determined; such runs are rare and
         // short.
-        auto* task = find_task(key);
         const resources demand = task != nullptr ? reserved_resources(spec_of(key)) : resources{};
         instance.orphaned_runs.emplace(id, demand);
         if (task != nullptr) {
@@ -255,23 +254,30 @@
     }
 }
 
-// A task that still waits for its next run does not need it.
-bool coordinator::state::counts_although_orphaned(const finished_task& completion,
-                                                  const task_state& task) const {
-    const auto& spec = spec_of(completion.task);
-    return completion.outcome == run_outcome::succeeded && task.phase == task_phase::waiting &&
-           !spec.is_long_running && !spec.is_gang && !jobs.at(completion.task.job).is_terminal();
+void coordinator::state::handle_completions(std::size_t index,
+                                            const std::vector<finished_task>& completions,
+                                            bool is_inventory) {
+    auto& instance = instances[index];
+    for (const auto& completion : completions) {
+        if (completion.number > instance.processed_completion) {
+            handle_completion(index, completion, is_inventory);
+            instance.processed_completion = completion.number;
+        }
+    }
 }
 
-void coordinator::state::handle_completion(std::size_t index, const finished_task& completion) {
+void coordinator::state::handle_completion(std::size_t index, const finished_task& completion,
+                                           bool is_in_inventory) {
     const bool was_orphaned = remove_orphaned_run(index, completion.task, completion.run);
     auto* task = find_task(completion.task);
-    if (was_orphaned && task != nullptr && counts_although_orphaned(completion, *task)) {
-        mark_succeeded(completion.task, *task, index);
+    if (task == nullptr) {
         return;
     }
-    if (task == nullptr || task->instance != index || task->run != completion.run ||
-        !task->occupies_instance()) {
+    if (!is_expected(index, completion.task, completion.run)) {
+        // An inventory repeats completions of earlier links, whose leases may have expired since.
+        if (was_orphaned || !is_in_inventory) {
+            handle_unexpected_completion(index, completion, *task);
+        }
         return;
     }
     auto& job = *find_job(completion.task.job);
@@ -284,13 +290,40 @@
     const bool is_long_running = spec_of(completion.task).is_long_running;
     if (completion.outcome == run_outcome::succeeded && !is_long_running) {
         mark_succeeded(completion.task, *task, index);
-    } else if (completion.outcome == run_outcome::failed) {
+        return;
+    }
+    requeue(completion.task, *task);
+    if (completion.outcome == run_outcome::failed) {
         record_failure(completion.task, *task, index);
-    } else {
-        requeue(completion.task, *task);
     }
 }
 
+// A success completes the task, which must not start again, and a failure is one of its attempts.
+void coordinator::state::handle_unexpected_completion(std::size_t index,
+                                                      const finished_task& completion,
+                                                      task_state& task) {
+    const auto& spec = spec_of(completion.task);
+    if (task.phase == task_phase::succeeded || spec.is_long_running || spec.is_gang ||
+        find_job(completion.task.job)->is_terminal()) {
+        return;
+    }
+    if (completion.outcome == run_outcome::failed) {
+        record_failure(completion.task, task, index);
+    }
+    if (completion.outcome != run_outcome::succeeded) {
+        return;
+    }
+    if (task.phase == task_phase::placed) {
+        withdraw(completion.task);
+    }
+    if (task.instance) {
+        const auto other = *task.instance;
+        unassign(completion.task, task);
+        stop_orphaned_run(other, completion.task, task.run);
+    }
+    mark_succeeded(completion.task, task, index);
+}
+
 void coordinator::state::mark_succeeded(const task_key& key, task_state& task, std::size_t index) {
     instances[index].health.succeeded();
     const bool is_gang = spec_of(key).is_gang;
@@ -337,10 +370,9 @@
     instances[index].health.failed(key.job, time.now());
     ++task.failures;
     task.last_failed_instance = index;
-    const bool is_long_running = spec_of(key).is_long_running;
-    requeue(key, task);
+    mark_dirty(key);
     auto& job = *find_job(key.job);
-    if (!is_long_running && task.failures >= job.submitted.rules.max_attempts) {
+    if (!spec_of(key).is_long_running && task.failures >= job.submitted.rules.max_attempts) {
         finish_job(job, job_phase::failed);
     }
 }
@@ -375,13 +407,19 @@
 
 void coordinator::state::reconcile(std::size_t index, const inventory& found) {
     std::map<task_key, run_number> present;
+    auto unlisted_orphans = instances[index].orphaned_runs;
     for (const auto& run : found.running) {
         if (is_expected(index, run.task, run.run)) {
             present[run.task] = run.run;
         } else {
+            unlisted_orphans.erase(std::pair(run.task, run.run));
             stop_orphaned_run(index, run.task, run.run);
         }
     }
+    // The agent has dropped the orders of the earlier link.
+    for (const auto& [id, demand] : unlisted_orphans) {
+        orders.stop(instances[index].name, id.first, id.second);
+    }
     const std::vector<task_key> keys(instances[index].tasks.begin(), instances[index].tasks.end());
     for (const auto& key : keys) {
         auto& task = *find_task(key);
