dispatch_node: cancellations of unknown jobs fill neither the table nor the owner's memory

Callers that cancelled jobs which never existed left a row of the table and a key in the owner's memory each, for good.

Cause: since the cancellation of an unknown job is stored, since a submission may still be on its way; nothing ever removed it.

Change: the owner removes such a row 120 s after it has read it in its newest version, by a transaction that requires that version and that the job has no row: it may be carried out late or under the next owner. What the owner holds follows the watch alone, and a full read; the answer to a removal decides only when the next is sent. An entry that finds such a row but no job writes it again before it answers, so that the time counts from the latest cancellation. A job stored within it stays cancelled; one stored later is a new job.

--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -534,8 +534,11 @@
     // is restored.
     bool restore(const job_id& job, std::string_view row, instant expires_at,
                  std::uint32_t number = 0);
-    // A job that is added later counts as cancelled as well.
+    // A job that is added later counts as cancelled as well, unless forget_cancellation is called
+    // before.
     void cancel_job(const job_id& job);
+    // The job's cancellation is no longer stored. Has no effect on a job that has been added.
+    void forget_cancellation(const job_id& job);
     // Returns std::nullopt for an unknown job. Only durable states are reported.
     [[nodiscard]] std::optional<job_status> status(const job_id& job) const;
     // Number of accepted jobs of the queue of which no task has started; timed jobs are not
@@ -592,6 +595,8 @@
         std::size_t running_tasks = 0;
         std::size_t instances = 0;
         std::size_t quarantined_instances = 0;
+        // Cancelled jobs that have not been added.
+        std::size_t early_cancellations = 0;
     };
     [[nodiscard]] counts count() const;
 
--- a/libs/dispatch/src/coordinator.cpp
+++ b/libs/dispatch/src/coordinator.cpp
@@ -108,6 +108,10 @@
     }
 }
 
+void coordinator::forget_cancellation(const job_id& id) {
+    state_->early_cancellations.erase(id);
+}
+
 std::optional<job_status> coordinator::status(const job_id& id) const {
     const auto found = state_->jobs.find(id);
     if (found == state_->jobs.end()) {
@@ -324,6 +328,7 @@
 coordinator::counts coordinator::count() const {
     counts result;
     result.jobs = state_->active_jobs.size();
+    result.early_cancellations = state_->early_cancellations.size();
     for (const auto& id : state_->active_jobs) {
         for (const auto& occurrence : state_->jobs.at(id).occurrences) {
             for (const auto& step : occurrence.steps) {
--- a/libs/dispatch_node/include/tanagerpaddle/dispatch_node.hpp
+++ b/libs/dispatch_node/include/tanagerpaddle/dispatch_node.hpp
@@ -55,8 +55,13 @@
         std::string key;
         std::string value;
     };
+    struct removal {
+        std::string table;
+        std::string key;
+    };
     std::vector<condition> conditions;
     std::vector<put> puts;
+    std::vector<removal> removals{};
 };
 
 // Appended to a key, gives a key that sorts after it and not after any longer key that begins with
@@ -206,6 +211,9 @@
     // Processors of this process; entries with more processors are preferred as owner.
     millicores processors{1'000};
     lease_timing timing;
+    // Time for which the cancellation of a job that is not stored is kept; longer than a submission
+    // can be under way.
+    milliseconds early_cancellation_lifetime{120'000};
 };
 
 enum class submit_outcome : std::uint8_t {
@@ -242,7 +250,8 @@
     void status(const job_id& job, deadline until,
                 const std::function<void(lookup, job_phase)>& done);
     // lookup::found and lookup::missing mean that the cancellation is durable: the job is cancelled
-    // even if it is stored only later.
+    // even if it is stored later, within entry_options::early_cancellation_lifetime of its newest
+    // cancellation.
     void cancel(const job_id& job, deadline until, const std::function<void(lookup)>& done);
     // Number of queued jobs of the queue; nullopt if neither this entry nor the owner can answer.
     void queued_jobs(const queue_id& queue, deadline until,
--- a/libs/dispatch_node/src/entry_node.cpp
+++ b/libs/dispatch_node/src/entry_node.cpp
@@ -72,6 +72,7 @@
         environment.policies = policies;
         environment.owner = &owner;
         environment.timing = options.timing;
+        environment.early_cancellation_lifetime = options.early_cancellation_lifetime;
         session = std::make_shared<owner_session>(
             environment, gained.epoch, grants_end_by(gained) + options.timing.expiry_delay());
         session->set_queues(queues);
@@ -371,25 +372,30 @@
     struct job_rows {
         store_outcome outcome = store_outcome::unknown;
         bool is_stored = false;
-        bool is_cancelled = false;
+        // 0: there is no cancellation.
+        row_version cancellation;
+
+        [[nodiscard]] bool is_cancelled() const { return cancellation != row_version(0); }
     };
 
     // Reads the rows of the job: the submitted job, and its cancellation if there is one. The range
     // may hold rows of other jobs whose identifiers begin with this one.
     void read_job(const job_id& job, deadline until, std::function<void(const job_rows&)> done) {
         // '0' sorts directly after '/', the first character of cancel_suffix.
-        store.read(
-            job_table, part_of(job), job.value(), job.value() + "0", until.remaining(time.now()),
-            [job, done = std::move(done)](const read_result& result) {
-                job_rows rows;
-                rows.outcome = result.outcome;
-                for (const auto& row : result.rows) {
-                    const auto& key = row.address.key;
-                    rows.is_stored = rows.is_stored || key == job.value();
-                    rows.is_cancelled = rows.is_cancelled || key == job.value() + cancel_suffix;
-                }
-                done(rows);
-            });
+        store.read(job_table, part_of(job), job.value(), job.value() + "0",
+                   until.remaining(time.now()),
+                   [job, done = std::move(done)](const read_result& result) {
+                       job_rows rows;
+                       rows.outcome = result.outcome;
+                       for (const auto& row : result.rows) {
+                           const auto& key = row.address.key;
+                           rows.is_stored = rows.is_stored || key == job.value();
+                           if (key == job.value() + cancel_suffix) {
+                               rows.cancellation = row.version;
+                           }
+                       }
+                       done(rows);
+                   });
     }
 
     void status_from_store(const job_id& job, deadline until, const status_handler& done) {
@@ -399,7 +405,7 @@
             } else if (!found.is_stored) {
                 done(lookup::missing, job_phase::pending);
             } else {
-                self->progress_from_store(job, until, found.is_cancelled, done);
+                self->progress_from_store(job, until, found.is_cancelled(), done);
             }
         });
     }
@@ -434,6 +440,8 @@
         std::function<void(lookup)> done;
         // The answer once the cancellation is durable: whether the job was stored by then.
         lookup found = lookup::missing;
+        // The job's earlier cancellation when the first attempt was made.
+        row_version earlier;
         // An earlier attempt may have stored the cancellation.
         bool may_be_stored = false;
         bool was_rejected = false;
@@ -462,16 +470,26 @@
                      } else if (found.outcome != store_outcome::done) {
                          self->retry_cancel(call);
                      } else {
-                         call->found = found.is_stored ? lookup::found : lookup::missing;
-                         if (found.is_cancelled) {
-                             call->done(call->found);
-                             return;
-                         }
-                         self->write_cancellation(call);
+                         self->on_rows_read(call, found);
                      }
                  });
     }
 
+    // While the job is not stored, an earlier cancellation may be removed soon: it is written
+    // again.
+    void on_rows_read(const std::shared_ptr<cancel_call>& call, const job_rows& found) {
+        call->found = found.is_stored ? lookup::found : lookup::missing;
+        const bool is_new = call->may_be_stored && found.cancellation != call->earlier;
+        if (found.is_cancelled() && (found.is_stored || is_new)) {
+            call->done(call->found);
+            return;
+        }
+        if (!call->may_be_stored) {
+            call->earlier = found.cancellation;
+        }
+        write_cancellation(call);
+    }
+
     void write_cancellation(const std::shared_ptr<cancel_call>& call) {
         const auto timeout = attempt_timeout(call->until);
         if (timeout.count() == 0) {
--- a/libs/dispatch_node/src/owner_session.cpp
+++ b/libs/dispatch_node/src/owner_session.cpp
@@ -26,6 +26,7 @@
 constexpr milliseconds load_retry_delay{100};
 // Age of the newest answer to the job watch up to which the list of jobs counts as complete.
 constexpr milliseconds max_job_list_age{2'000};
+constexpr milliseconds removal_timeout{2'000};
 
 bool is_cancel_key(const std::string& key) {
     const std::string_view suffix = cancel_suffix;
@@ -33,6 +34,10 @@
            std::string_view(key).substr(key.size() - suffix.size()) == suffix;
 }
 
+job_id job_of_cancel_key(const std::string& key) {
+    return job_id(key.substr(0, key.size() - std::string_view(cancel_suffix).size()));
+}
+
 std::vector<std::string> all_job_parts() {
     std::vector<std::string> parts;
     for (std::uint32_t i = 0; i < job_part_count; ++i) {
@@ -57,7 +62,8 @@
     : env_(env),
       epoch_(epoch),
       unclaimed_runs_end_by_(unclaimed_runs_end_by),
-      coordinator_(coordinator_options(env.timing), *env.time, *this) {}
+      coordinator_(coordinator_options(env.timing), *env.time, *this),
+      early_cancellations_(*env.time, env.early_cancellation_lifetime) {}
 
 // ---------------------------------------------------------------------------------------------
 // Loading
@@ -103,14 +109,12 @@
             self->job_watcher_ = std::make_unique<table_watcher>(
                 *self->env_.loop, *self->env_.store,
                 table_watcher::options{job_table, all_job_parts()},
-                [weak = self->weak_from_this()](const std::vector<stored_row>& rows, bool) {
+                [weak = self->weak_from_this()](const std::vector<stored_row>& rows, bool is_full) {
                     const auto session = weak.lock();
                     if (!session || session->is_closed_) {
                         return;
                     }
-                    for (const auto& row : rows) {
-                        session->add_row(row);
-                    }
+                    session->add_rows(rows, is_full);
                     if (!session->is_loaded_) {
                         session->finish_loading();
                     }
@@ -119,18 +123,33 @@
         });
 }
 
-void owner_session::add_row(const stored_row& row) {
-    if (row.version == row_version(0)) {
-        return;
+void owner_session::add_rows(const std::vector<stored_row>& rows, bool is_full) {
+    if (is_full && early_cancellations_.size() > 0) {
+        // Removals may have been missed; a job that was stored after one is not cancelled.
+        std::set<std::string> stored;
+        for (const auto& row : rows) {
+            if (is_cancel_key(row.address.key)) {
+                stored.insert(row.address.key);
+            }
+        }
+        for (const auto& job : early_cancellations_.missing_in(stored)) {
+            forget_cancellation(job);
+        }
+    }
+    for (const auto& row : rows) {
+        add_row(row);
     }
+}
+
+void owner_session::add_row(const stored_row& row) {
     const auto& key = row.address.key;
+    const bool is_removed = row.version == row_version(0);
     if (is_cancel_key(key)) {
-        const job_id job(key.substr(0, key.size() - std::string_view(cancel_suffix).size()));
-        log_event(log_level::info, "job_cancelled",
-                  {{"job", job.value()},
-                   {"row_version", row.version.value()},
-                   {"job_phase", phase_name(job)}});
-        coordinator_.cancel_job(job);
+        const auto job = job_of_cancel_key(key);
+        is_removed ? forget_cancellation(job) : add_cancellation(job, row.version);
+        return;
+    }
+    if (is_removed) {
         return;
     }
     try {
@@ -140,6 +159,7 @@
             env_.time->utc_now().value() - job.accepted_at.value(), 0, 60'000);
         const bool is_new = !coordinator_.status(job.id);
         coordinator_.add_job(job, milliseconds(is_loaded_ ? 0 : age));
+        early_cancellations_.erase(job.id);
         if (is_new && is_loaded_) {
             log_event(log_level::info, "job_added",
                       {{"job", key},
@@ -152,6 +172,21 @@
     }
 }
 
+void owner_session::add_cancellation(const job_id& job, row_version version) {
+    log_event(
+        log_level::info, "job_cancelled",
+        {{"job", job.value()}, {"row_version", version.value()}, {"job_phase", phase_name(job)}});
+    coordinator_.cancel_job(job);
+    if (!coordinator_.status(job)) {
+        early_cancellations_.add(job, version);
+    }
+}
+
+void owner_session::forget_cancellation(const job_id& job) {
+    coordinator_.forget_cancellation(job);
+    early_cancellations_.erase(job);
+}
+
 std::string_view owner_session::phase_name(const job_id& job) const {
     const auto found = coordinator_.status(job);
     return found ? name(found->phase) : "unknown";
@@ -315,9 +350,32 @@
         connect(name);
     }
     share_pressures();
+    remove_early_cancellations();
     schedule_plan();
 }
 
+void owner_session::remove_early_cancellations() {
+    if (!is_job_list_current()) {
+        return;
+    }
+    const auto transaction = early_cancellations_.begin_removal();
+    if (!transaction) {
+        return;
+    }
+    env_.store->transact(*transaction, removal_timeout,
+                         [weak = weak_from_this(),
+                          count = transaction->removals.size()](const transaction_result& result) {
+                             const auto self = weak.lock();
+                             if (!self || self->is_closed_) {
+                                 return;
+                             }
+                             log_event(
+                                 log_level::info, "cancellations_removed",
+                                 {{"rows", count}, {"outcome", static_cast<int>(result.outcome)}});
+                             self->early_cancellations_.end_removal(result);
+                         });
+}
+
 void owner_session::send_pressures(agent_link& agent, const pressure_table& pressures) {
     if (!agent.link || !agent.is_claimed || pressures.empty()) {
         return;
--- a/libs/dispatch_node/src/owner_session.hpp
+++ b/libs/dispatch_node/src/owner_session.hpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <set>
 
+#include "early_cancellations.hpp"
 #include "messages.hpp"
 #include "ownership.hpp"
 
@@ -32,6 +33,7 @@
         policy_service* policies = nullptr;
         ownership* owner = nullptr;
         lease_timing timing;
+        milliseconds early_cancellation_lifetime{0};
     };
 
     // Runs on instances whose agents cannot be claimed have ended by `unclaimed_runs_end_by`.
@@ -77,7 +79,11 @@
     };
 
     void load_progress(const std::string& from);
+    void add_rows(const std::vector<stored_row>& rows, bool is_full);
     void add_row(const stored_row& row);
+    void add_cancellation(const job_id& job, row_version version);
+    void forget_cancellation(const job_id& job);
+    void remove_early_cancellations();
     // The phase of the job for the log, or "unknown".
     [[nodiscard]] std::string_view phase_name(const job_id& job) const;
     void finish_loading();
@@ -106,6 +112,7 @@
     epoch_number epoch_;
     instant unclaimed_runs_end_by_;
     coordinator coordinator_;
+    early_cancellations early_cancellations_;
     std::unique_ptr<table_watcher> job_watcher_;
     std::unique_ptr<table_watcher> agent_watcher_;
     std::map<instance_name, agent_link> agents_;
--- a/libs/dispatch_node/tests/fake_store.hpp
+++ b/libs/dispatch_node/tests/fake_store.hpp
@@ -2,6 +2,7 @@
 
 // An in-memory implementation of row_store that can inject faults.
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <utility>
@@ -20,6 +21,14 @@
         if (before_next_transaction) {
             std::exchange(before_next_transaction, nullptr)();
         }
+        const bool is_removal = !transaction.removals.empty();
+        if (is_removal) {
+            ++removal_writes;
+            max_removals = std::max(max_removals, transaction.removals.size());
+            if (before_next_removal) {
+                std::exchange(before_next_removal, nullptr)();
+            }
+        }
         if (is_down) {
             loop_.post([done] { done({store_outcome::rejected, {}, {}}); });
             return;
@@ -32,9 +41,12 @@
             loop_.post([done] { done({store_outcome::rejected, {}, {}}); });
             return;
         }
-        job_writes += transaction.puts.front().table == "jobs" ? 1 : 0;
-        if (write_delay) {
-            loop_.after(*write_delay, [this, transaction] { apply(transaction); });
+        job_writes += !transaction.puts.empty() && transaction.puts.front().table == "jobs" ? 1 : 0;
+        const auto delay = draw_delay                    ? draw_delay(transaction)
+                           : is_removal && removal_delay ? removal_delay
+                                                         : write_delay;
+        if (delay) {
+            loop_.after(*delay, [this, transaction] { apply(transaction); });
             loop_.after(timeout, [done] { done({store_outcome::unknown, {}, {}}); });
             return;
         }
@@ -95,8 +107,15 @@
     void put(const std::string& table, const std::string& part, const std::string& key,
              const std::string& value) {
         version = version.next();
+        removed_rows.erase({table, part, key});
         rows[{table, part, key}] = {value, version};
     }
+    // Removes a row unconditionally, as another client.
+    void remove(const std::string& table, const std::string& part, const std::string& key) {
+        version = version.next();
+        rows.erase({table, part, key});
+        removed_rows[{table, part, key}] = version;
+    }
     [[nodiscard]] std::string value(const std::string& table, const std::string& part,
                                     const std::string& key) const {
         const auto found = rows.find({table, part, key});
@@ -105,15 +124,28 @@
 
     std::map<std::tuple<std::string, std::string, std::string>, std::pair<std::string, row_version>>
         rows;
+    // Versions at which rows were removed.
+    std::map<std::tuple<std::string, std::string, std::string>, row_version> removed_rows;
     row_version version;
     int transactions = 0;
+    int removal_writes = 0;
+    // Most rows that one transaction removed.
+    std::size_t max_removals = 0;
     int job_writes = 0;
     int watches = 0;
     milliseconds latency{2};
     // Called once, when the next transaction arrives.
     std::function<void()> before_next_transaction;
+    // Called once, when the next transaction that removes rows arrives.
+    std::function<void()> before_next_removal;
     // Writes are not answered, and are done after this time.
     std::optional<milliseconds> write_delay;
+    // The same for transactions that remove rows.
+    std::optional<milliseconds> removal_delay;
+    // Draws such a time for a transaction.
+    std::function<std::optional<milliseconds>(const row_transaction&)> draw_delay;
+    // Called after a transaction has been applied.
+    std::function<void(const row_transaction&)> on_applied;
     bool is_down = false;
     bool rejects_writes = false;
     bool loses_requests = false;
@@ -122,7 +154,9 @@
     milliseconds watch_delay{0};
     // Watches that begin meanwhile are never answered.
     bool loses_watches = false;
+    // The next watch finds that its history is gone: that of any table, or of this one.
     bool has_lost_history = false;
+    std::string lost_history_table;
 
     // The store's time; unset if its answers do not tell it.
     [[nodiscard]] std::optional<store_instant> now() const {
@@ -155,8 +189,39 @@
             version = version.next();
             result.version = version;
             for (const auto& put : transaction.puts) {
+                removed_rows.erase({put.table, transaction.part, put.key});
                 rows[{put.table, transaction.part, put.key}] = {put.value, version};
             }
+            for (const auto& removal : transaction.removals) {
+                rows.erase({removal.table, transaction.part, removal.key});
+                removed_rows[{removal.table, transaction.part, removal.key}] = version;
+            }
+            if (on_applied) {
+                on_applied(transaction);
+            }
+        }
+        return result;
+    }
+
+    // The rows that changed after a version, in the order of their last changes.
+    [[nodiscard]] std::vector<stored_row> changes(const std::string& table,
+                                                  row_version after) const {
+        std::multimap<row_version, stored_row> changed;
+        for (const auto& [address, row] : rows) {
+            const auto& [row_table, part, key] = address;
+            if (row_table == table && row.second > after) {
+                changed.insert({row.second, {{row_table, part, key}, row.first, row.second}});
+            }
+        }
+        for (const auto& [address, removed_at] : removed_rows) {
+            const auto& [row_table, part, key] = address;
+            if (row_table == table && removed_at > after) {
+                changed.insert({removed_at, {{row_table, part, key}, "", row_version(0)}});
+            }
+        }
+        std::vector<stored_row> result;
+        for (auto& [changed_at, row] : changed) {
+            result.push_back(std::move(row));
         }
         return result;
     }
@@ -171,19 +236,15 @@
             loop_.after(step, [done, result] { done(result); });
             return;
         }
-        if (has_lost_history) {
+        if (has_lost_history || lost_history_table == table) {
             has_lost_history = false;
+            lost_history_table.clear();
             result.outcome = store_outcome::history_expired;
             loop_.after(step, [done, result] { done(result); });
             return;
         }
         result.outcome = store_outcome::done;
-        for (const auto& [address, row] : rows) {
-            const auto& [row_table, part, key] = address;
-            if (row_table == table && row.second > after) {
-                result.rows.push_back({{row_table, part, key}, row.first, row.second});
-            }
-        }
+        result.rows = changes(table, after);
         if (!result.rows.empty() || left <= step) {
             loop_.after(step, [done, result] { done(result); });
             return;
--- /dev/null
+++ b/libs/dispatch_node/tests/random_cancellations_test.cpp
@@ -0,0 +1,212 @@
+// Submissions and cancellations of the same jobs at random times, while the store carries out
+// writes late, the watch lags or loses its history, and the owner is replaced.
+
+#include <doctest/doctest.h>
+#include <unistd.h>
+
+#include <cstdlib>
+
+#include "fake_store.hpp"
+#include "owner_session.hpp"
+
+using namespace tanagerpaddle;
+using namespace tanagerpaddle::dispatch;
+using namespace tanagerpaddle::dispatch::testing;
+
+namespace {
+
+constexpr milliseconds lifetime{400};
+constexpr milliseconds max_delay{900};
+constexpr milliseconds call_timeout{800};
+constexpr milliseconds duration{6'000};
+constexpr int entry_count = 4;
+
+// Below the ephemeral ports (from 32768), and apart from those of the other tests.
+eventio::endpoint local_endpoint(int offset) {
+    const auto base = 12'000 + (getpid() % 1'000) * entry_count;
+    return {"127.0.0.1", static_cast<std::uint16_t>(base + offset)};
+}
+
+std::uint64_t seed_from_environment() {
+    const char* text = std::getenv("TANAGERPADDLE_SEED");
+    return text == nullptr ? 1 : std::strtoull(text, nullptr, 10);
+}
+
+submitted_job make_job(const job_id& id) {
+    submitted_job job;
+    job.id = id;
+    job.queue = queue_id("queue");
+    job.rules.service = service_id("service");
+    job.spec.steps.emplace_back();
+    return job;
+}
+
+struct fixture {
+    struct job_record {
+        std::string id;
+        bool has_been_cancelled = false;
+        // Start of the newest call that confirmed a cancellation.
+        std::optional<instant> cancelled_from;
+        std::optional<instant> stored_at;
+    };
+
+    eventio::event_loop loop;
+    system_clock time;
+    fake_store store{loop};
+    random_source random;
+    std::map<job_id, job_record> jobs;
+    std::vector<std::unique_ptr<entry_node>> entries;
+    std::size_t owner = 0;
+    int confirmed = 0;
+
+    explicit fixture(std::uint64_t seed) : random(seed) {
+        for (int i = 0; i < entry_count; ++i) {
+            entry_options options{
+                "entry" + std::to_string(i), "life", local_endpoint(i), millicores(1'000), {}};
+            options.early_cancellation_lifetime = lifetime;
+            entries.push_back(std::make_unique<entry_node>(loop, time, store, nullptr, options));
+        }
+        entries[0]->start();
+        run_for(milliseconds(300));
+        REQUIRE(entries[0]->is_owner());
+        store.draw_delay = [this](const row_transaction& transaction) {
+            const bool is_late = transaction.part != owner_part && random.chance(0.3);
+            return is_late ? std::optional(draw(max_delay)) : std::nullopt;
+        };
+        store.on_applied = [this](const row_transaction& transaction) {
+            for (const auto& put : transaction.puts) {
+                const auto found = jobs.find(job_id(put.key));
+                if (found != jobs.end()) {
+                    found->second.stored_at = time.now();
+                }
+            }
+        };
+    }
+    milliseconds draw(milliseconds bound) {
+        return milliseconds(
+            static_cast<std::int64_t>(random.below(static_cast<std::uint64_t>(bound.count()))));
+    }
+    void run_for(milliseconds limit) {
+        loop.after(limit, [this] { loop.stop(); });
+        loop.run();
+    }
+    void replace_owner() {
+        entries[owner + 1]->start();
+        entries[owner]->leave();
+        ++owner;
+        for (int i = 0; i < 50 && !entries[owner]->is_owner(); ++i) {
+            run_for(milliseconds(100));
+        }
+        REQUIRE(entries[owner]->is_owner());
+    }
+    // A submission or cancellation of a job that is in use for about a second.
+    void call(milliseconds since_begin) {
+        constexpr std::uint64_t jobs_at_a_time = 12;
+        const auto number =
+            static_cast<std::uint64_t>(since_begin.count()) / 80 + random.below(jobs_at_a_time);
+        const job_id id("job" + std::to_string(number));
+        auto& record = jobs[id];
+        record.id = id.value();
+        auto& entry = *entries[random.chance(0.5) ? owner : entries.size() - 1];
+        const instant begun = time.now();
+        if (random.chance(0.35)) {
+            entry.submit(make_job(id), deadline::after(begun, call_timeout), [](submit_outcome) {});
+            return;
+        }
+        record.has_been_cancelled = true;
+        entry.cancel(
+            id, deadline::after(begun, call_timeout), [this, id, begun](entry_node::lookup found) {
+                if (found == entry_node::lookup::found || found == entry_node::lookup::missing) {
+                    jobs[id].cancelled_from = begun;
+                    ++confirmed;
+                }
+            });
+    }
+    void call_at_random() {
+        const instant begun = time.now();
+        const instant end = begun + duration;
+        loop.every(milliseconds(10), [this, begun, end] {
+            const instant now = time.now();
+            if (now < end) {
+                call(std::chrono::duration_cast<milliseconds>(now - begun));
+                store.watch_delay = random.chance(0.5) ? milliseconds(0) : draw(milliseconds(300));
+                if (random.chance(0.01)) {
+                    store.lost_history_table = job_table;
+                }
+            }
+        });
+        run_for(duration / 3);
+        replace_owner();
+        run_for(duration / 3);
+        replace_owner();
+        run_for(std::chrono::ceil<milliseconds>(end - time.now()) + call_timeout + max_delay);
+        store.draw_delay = nullptr;
+        store.watch_delay = milliseconds(0);
+        // A watch that is under way may still be answered late.
+        run_for(milliseconds(2'000));
+    }
+    job_phase phase(const job_id& id) {
+        std::optional<job_phase> result;
+        loop.post([&] {
+            entries[owner]->status(id, deadline::after(time.now(), milliseconds(1'000)),
+                                   [&](entry_node::lookup found, job_phase phase) {
+                                       REQUIRE(found == entry_node::lookup::found);
+                                       result = phase;
+                                       loop.stop();
+                                   });
+        });
+        loop.run();
+        return result.value();
+    }
+    [[nodiscard]] bool has_cancellation(const job_id& id) const {
+        return store.rows.contains({job_table, part_of(id), id.value() + cancel_suffix});
+    }
+};
+
+}  // namespace
+
+// Guards against cancelled jobs that run and jobs that are cancelled for no reason, since the row
+// of a cancellation was removed too early, or was removed and not forgotten.
+TEST_CASE("jobs stored within the lifetime of a cancellation are cancelled, and no row is left") {
+    const auto seed = seed_from_environment();
+    CAPTURE(seed);
+    fixture f(seed);
+    f.call_at_random();
+    std::map<job_id, job_phase> phases;
+    std::size_t stored = 0;
+    for (const auto& entry : f.jobs) {
+        const auto& id = entry.first;
+        const auto& record = entry.second;
+        if (!record.stored_at) {
+            continue;
+        }
+        ++stored;
+        INFO(record.id);
+        phases[id] = f.phase(id);
+        const bool is_cancelled = phases[id] == job_phase::cancelled;
+        const bool must_be_cancelled =
+            record.cancelled_from && *record.stored_at <= *record.cancelled_from + lifetime;
+        CHECK((is_cancelled || !must_be_cancelled));
+        CHECK((!is_cancelled || record.has_been_cancelled));
+        CHECK(is_cancelled == f.has_cancellation(id));
+    }
+    MESSAGE("seed " << seed << ": " << f.confirmed << " cancellations confirmed, " << stored
+                    << " of " << f.jobs.size() << " jobs stored, " << f.store.removal_writes
+                    << " removals");
+    CHECK(stored > 10);
+    CHECK(f.confirmed > 10);
+    CHECK(f.store.removal_writes > 0);
+    f.run_for(lifetime + milliseconds(4'500));
+    for (const auto& [id, record] : f.jobs) {
+        if (!record.stored_at) {
+            CHECK_FALSE(f.has_cancellation(id));
+        }
+    }
+    CHECK(f.entries[f.owner]->count().early_cancellations == 0);
+    f.replace_owner();
+    for (const auto& [id, phase] : phases) {
+        const auto& found = f.jobs[id];
+        INFO(found.id);
+        CHECK(f.phase(id) == phase);
+    }
+}
