random_cancellations_test: calls are spread over more jobs, so that rows expire between them

Cause: the first form of the test cancelled and submitted each job many times a second, so that few rows outlived their time.

Change: each job is cancelled one to three times within 1 s and submitted at most once within 1.8 s. All checks are as before.

--- a/libs/dispatch_node/tests/random_cancellations_test.cpp
+++ b/libs/dispatch_node/tests/random_cancellations_test.cpp
@@ -17,6 +17,9 @@
 
 constexpr milliseconds lifetime{400};
 constexpr milliseconds max_delay{900};
+// Times after the first mention of a job until which it is cancelled and submitted.
+constexpr milliseconds max_cancel_time{1'000};
+constexpr milliseconds max_submit_time{1'800};
 constexpr milliseconds call_timeout{800};
 constexpr milliseconds duration{6'000};
 constexpr int entry_count = 4;
@@ -99,38 +102,42 @@
         }
         REQUIRE(entries[owner]->is_owner());
     }
-    // A submission or cancellation of a job that is in use for about a second.
-    void call(milliseconds since_begin) {
-        constexpr std::uint64_t jobs_at_a_time = 12;
-        const auto number =
-            static_cast<std::uint64_t>(since_begin.count()) / 80 + random.below(jobs_at_a_time);
-        const job_id id("job" + std::to_string(number));
-        auto& record = jobs[id];
-        record.id = id.value();
-        auto& entry = *entries[random.chance(0.5) ? owner : entries.size() - 1];
+    void submit(const job_id& id) {
+        entries[owner]->submit(make_job(id), deadline::after(time.now(), call_timeout),
+                               [](submit_outcome) {});
+    }
+    // At the owner or at an entry that has no owner to ask.
+    void cancel(const job_id& id) {
         const instant begun = time.now();
-        if (random.chance(0.35)) {
-            entry.submit(make_job(id), deadline::after(begun, call_timeout), [](submit_outcome) {});
-            return;
-        }
-        record.has_been_cancelled = true;
-        entry.cancel(
+        jobs[id].has_been_cancelled = true;
+        entries[random.chance(0.5) ? owner : entries.size() - 1]->cancel(
             id, deadline::after(begun, call_timeout), [this, id, begun](entry_node::lookup found) {
                 if (found == entry_node::lookup::found || found == entry_node::lookup::missing) {
-                    jobs[id].cancelled_from = begun;
+                    auto& cancelled_from = jobs[id].cancelled_from;
+                    cancelled_from = std::max(cancelled_from.value_or(begun), begun);
                     ++confirmed;
                 }
             });
     }
+    // Draws the calls that concern a new job.
+    void add_job() {
+        const job_id id("job" + std::to_string(jobs.size()));
+        jobs[id].id = id.value();
+        const auto cancellations = 1 + random.below(3);
+        for (std::uint64_t i = 0; i < cancellations; ++i) {
+            loop.after(draw(max_cancel_time), [this, id] { cancel(id); });
+        }
+        if (random.chance(0.7)) {
+            loop.after(draw(max_submit_time), [this, id] { submit(id); });
+        }
+    }
     void call_at_random() {
-        const instant begun = time.now();
-        const instant end = begun + duration;
-        loop.every(milliseconds(10), [this, begun, end] {
-            const instant now = time.now();
-            if (now < end) {
-                call(std::chrono::duration_cast<milliseconds>(now - begun));
+        const instant end = time.now() + duration;
+        loop.every(milliseconds(20), [this, end] {
+            if (time.now() < end) {
+                add_job();
                 store.watch_delay = random.chance(0.5) ? milliseconds(0) : draw(milliseconds(300));
-                if (random.chance(0.01)) {
+                if (random.chance(0.02)) {
                     store.lost_history_table = job_table;
                 }
             }
@@ -139,7 +146,8 @@
         replace_owner();
         run_for(duration / 3);
         replace_owner();
-        run_for(std::chrono::ceil<milliseconds>(end - time.now()) + call_timeout + max_delay);
+        run_for(std::chrono::ceil<milliseconds>(end - time.now()) + max_submit_time + call_timeout +
+                max_delay);
         store.draw_delay = nullptr;
         store.watch_delay = milliseconds(0);
         // A watch that is under way may still be answered late.
