eventio, dispatch_node: no test fails because another process holds its port

Cause: the tests listened on ports computed from their process id. Two processes whose ids are equal modulo 200 (exceptions_test, malformed_messages_test), 300 (entry_node_test), 1,400 (http_test) or 4,000 (heartbeat_test) used the same ports, as two work trees or two builds on one machine do; the ranges of http_test (21,000 to 32,206) and heartbeat_test (24,000 to 27,999) overlapped. Change: the system chooses each port, and the process keeps it bound until it ends. A server that sets SO_REUSEADDR, as eventio's do, can listen on it; no other process is given it, and connections are refused while no server listens.

--- a/libs/dispatch_node/tests/entry_node_test.cpp
+++ b/libs/dispatch_node/tests/entry_node_test.cpp
@@ -1,23 +1,18 @@
 // Results that callers of an entry get when the store answers, rejects calls, or loses answers.
 
 #include <doctest/doctest.h>
-#include <unistd.h>
 
 #include "fake_store.hpp"
+#include "loop_support.hpp"
 #include "owner_session.hpp"
 
 using namespace tanagerpaddle;
 using namespace tanagerpaddle::dispatch;
 using namespace tanagerpaddle::dispatch::testing;
+using eventio::testing::local_endpoint;
 
 namespace {
 
-// Below the ephemeral ports (from 32768): a connection of any test may use one of those.
-eventio::endpoint local_endpoint(int offset) {
-    const auto base = 18'000 + (getpid() % 300) * 8;
-    return {"127.0.0.1", static_cast<std::uint16_t>(base + offset)};
-}
-
 submitted_job make_job(const std::string& id) {
     submitted_job job;
     job.id = job_id(id);
--- a/libs/dispatch_node/tests/heartbeat_test.cpp
+++ b/libs/dispatch_node/tests/heartbeat_test.cpp
@@ -1,22 +1,18 @@
 // What the heartbeats of an agent tell the owner about the runs of its executor.
 
 #include <doctest/doctest.h>
-#include <unistd.h>
 
 #include "fake_store.hpp"
+#include "loop_support.hpp"
 #include "messages.hpp"
 
 using namespace tanagerpaddle;
 using namespace tanagerpaddle::dispatch;
 using namespace tanagerpaddle::dispatch::testing;
+using eventio::testing::local_endpoint;
 
 namespace {
 
-// Below the ephemeral ports (from 32768), and apart from those of the other tests.
-eventio::endpoint local_endpoint() {
-    return {"127.0.0.1", static_cast<std::uint16_t>(24'000 + getpid() % 4'000)};
-}
-
 // Answers each sync with the same lists.
 class listing_executor final : public executor_control {
 public:
@@ -51,7 +47,7 @@
     const system_clock time;
     fake_store store(loop);
     listing_executor executor(loop);
-    agent_node agent(loop, time, store, executor, {"agent", "life", local_endpoint(), {}});
+    agent_node agent(loop, time, store, executor, {"agent", "life", local_endpoint(0), {}});
     agent.start();
     executor_info info;
     info.id = executor_id("executor");
@@ -68,7 +64,7 @@
             }
         }
     };
-    eventio::connect_link(loop, local_endpoint(), milliseconds(500),
+    eventio::connect_link(loop, local_endpoint(0), milliseconds(500),
                           [&](const std::shared_ptr<eventio::message_link>& link) {
                               link->send(R"({"t":"claim","epoch":1})");
                               return eventio::link_handlers{receive, [] {}};
--- a/libs/dispatch_node/tests/malformed_messages_test.cpp
+++ b/libs/dispatch_node/tests/malformed_messages_test.cpp
@@ -3,27 +3,22 @@
 // test.
 
 #include <doctest/doctest.h>
-#include <unistd.h>
 
 #include <limits>
 #include <optional>
 
 #include "fake_store.hpp"
+#include "loop_support.hpp"
 #include "messages.hpp"
 #include "owner_session.hpp"
 
 using namespace tanagerpaddle;
 using namespace tanagerpaddle::dispatch;
 using namespace tanagerpaddle::dispatch::testing;
+using eventio::testing::local_endpoint;
 
 namespace {
 
-// Below the ephemeral ports (from 32768): a connection of any test may use one of those.
-eventio::endpoint local_endpoint(int offset) {
-    const auto base = 12'000 + (getpid() % 200) * 16;
-    return {"127.0.0.1", static_cast<std::uint16_t>(base + offset)};
-}
-
 // Messages that are no JSON, no object, or have members that are missing, of another type, or out
 // of range.
 std::vector<std::string> malformed_messages() {
--- a/libs/eventio/tests/exceptions_test.cpp
+++ b/libs/eventio/tests/exceptions_test.cpp
@@ -2,24 +2,19 @@
 // callback and the connection that it came from, and everything else continues.
 
 #include <doctest/doctest.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <stdexcept>
 
+#include "loop_support.hpp"
 #include "tanagerpaddle/eventio.hpp"
 
 using namespace tanagerpaddle;
 using namespace tanagerpaddle::eventio;
+using tanagerpaddle::eventio::testing::local_endpoint;
 
 namespace {
 
-// Below the ephemeral ports (from 32768): a connection of any test may use one of those.
-endpoint local_endpoint(int offset) {
-    const auto base = 16'000 + (getpid() % 200) * 8;
-    return {"127.0.0.1", static_cast<std::uint16_t>(base + offset)};
-}
-
 struct fixture {
     event_loop loop;
     std::vector<std::string> failures;
--- a/libs/eventio/tests/http_test.cpp
+++ b/libs/eventio/tests/http_test.cpp
@@ -1,24 +1,18 @@
 // Tests HTTP and framed messages over the loopback interface.
 
 #include <doctest/doctest.h>
-#include <unistd.h>
 
 #include <algorithm>
 
+#include "loop_support.hpp"
 #include "tanagerpaddle/eventio.hpp"
 
 using namespace tanagerpaddle;
 using namespace tanagerpaddle::eventio;
+using tanagerpaddle::eventio::testing::local_endpoint;
 
 namespace {
 
-// An endpoint in a port range that other programs are unlikely to use. Each test case uses its own
-// offset.
-endpoint local_endpoint(int offset) {
-    const auto base = 21'000 + (getpid() % 1'400) * 8;
-    return {"127.0.0.1", static_cast<std::uint16_t>(base + offset)};
-}
-
 // Runs the loop until `done` is true; the check fails if that takes longer than 5 s.
 void run_until(event_loop& loop, const bool& done) {
     constexpr milliseconds max_run_time{5'000};
