eventio, dispatch_node: a test fails no longer when its process is stalled for a second

Cause: the cases ran their event loop until a time on the wall clock. A process that was not scheduled for part of it had that much less to run, and checks failed that bound no time: - exceptions_test, "calls that wait when their client is destroyed end as not sent": 1 of 15 whole runs alone and 4 of 200 of the case, four at a time, on a machine shared with other builds; 3 of 3 when it is stopped for 0.9 s. - heartbeat_test: 1 of 30, alone; 2 of 3 when it is stopped for 0.9 s. - malformed_messages_test, "an owner survives malformed messages from other entries": 4 of 30, three at a time; 3 of 3 when it is stopped for 0.9 s. The store of the tests also counted the wait of a watch in steps of 2 ms, not by the clock, so that a stall lengthened it, and the owner's list of jobs was older than the 2 s within which it answers. - entry_node_test, "submissions are refused at once while the store does not answer": 3 of 3 when it is stopped for 0.5 s after each 1.3 s. Ruled out: a fault of the product: the first case fails since the timeout and the end of the run fall into one turn of the loop; the owner answers that it does not know, as it should with a list that is too old. Change: run_for() runs the loop in 20 steps, of which a stall takes up one. Timeouts that the cases do not test are 5 s or more. No check is removed or changed, one is added. The windows are as long as before, but for the first case, whose call times out after 1,000 in place of 400 ms in a window of 1,300 in place of 700 ms. ownership_test keeps its own runs: its cases bound times from both sides, and one failed with steps (1 of 1, stopped for 0.5 s after each 1.3 s).

--- a/libs/dispatch_node/tests/entry_node_test.cpp
+++ b/libs/dispatch_node/tests/entry_node_test.cpp
@@ -36,10 +36,7 @@
             run_for(milliseconds(300));
         }
     }
-    void run_for(milliseconds limit) {
-        loop.after(limit, [this] { loop.stop(); });
-        loop.run();
-    }
+    void run_for(milliseconds limit) { eventio::testing::run_for(loop, limit); }
     submit_outcome submit(const std::string& id, milliseconds limit = milliseconds(1'000)) {
         std::optional<submit_outcome> outcome;
         loop.post([&] {
--- a/libs/dispatch_node/tests/heartbeat_test.cpp
+++ b/libs/dispatch_node/tests/heartbeat_test.cpp
@@ -64,13 +64,13 @@
             }
         }
     };
-    eventio::connect_link(loop, local_endpoint(0), milliseconds(500),
+    eventio::connect_link(loop, local_endpoint(0), milliseconds(5'000),
                           [&](const std::shared_ptr<eventio::message_link>& link) {
                               link->send(R"({"t":"claim","epoch":1})");
                               return eventio::link_handlers{receive, [] {}};
                           });
-    loop.after(milliseconds(700), [&] { executor.running[0].run = run_number(2); });
-    loop.after(milliseconds(1'600), [&] { loop.stop(); });
-    loop.run();
+    eventio::testing::run_for(loop, milliseconds(700));
+    executor.running[0].run = run_number(2);
+    eventio::testing::run_for(loop, milliseconds(900));
     CHECK(listed == "1 2 ");
 }
--- a/libs/dispatch_node/tests/malformed_messages_test.cpp
+++ b/libs/dispatch_node/tests/malformed_messages_test.cpp
@@ -49,10 +49,7 @@
         entry.start();
         run_for(milliseconds(300));
     }
-    void run_for(milliseconds limit) {
-        loop.after(limit, [this] { loop.stop(); });
-        CHECK_NOTHROW(loop.run());
-    }
+    void run_for(milliseconds limit) { CHECK_NOTHROW(eventio::testing::run_for(loop, limit)); }
 };
 
 }  // namespace
@@ -61,16 +58,19 @@
     fixture f;
     for (const auto& text : malformed_messages()) {
         CAPTURE(text);
-        eventio::connect_link(f.loop, local_endpoint(0), milliseconds(500),
+        eventio::connect_link(f.loop, local_endpoint(0), milliseconds(5'000),
                               [&](const std::shared_ptr<eventio::message_link>& link) {
                                   link->send(text);
                                   return eventio::link_handlers{[](const std::string&) {}, [] {}};
                               });
         f.run_for(milliseconds(10));
     }
+    CHECK(f.entry.is_owner());
+    // An owner answers from a list of jobs of the last 2 s, which the store confirms each second.
+    f.run_for(milliseconds(1'500));
     std::string answer;
     eventio::connect_link(
-        f.loop, local_endpoint(0), milliseconds(500),
+        f.loop, local_endpoint(0), milliseconds(5'000),
         [&](const std::shared_ptr<eventio::message_link>& link) {
             link->send(R"({"t":"queued","id":5,"queue":"queue"})");
             return eventio::link_handlers{[&](const std::string& text) { answer = text; }, [] {}};
@@ -164,7 +164,7 @@
     for (const auto& text : malformed_messages()) {
         CAPTURE(text);
         eventio::connect_link(
-            loop, local_endpoint(13), milliseconds(500),
+            loop, local_endpoint(13), milliseconds(5'000),
             [&](const std::shared_ptr<eventio::message_link>& link) {
                 link->send(R"({"t":"claim","epoch":)" + std::to_string(++epoch) + "}");
                 link->send(text);
@@ -174,8 +174,7 @@
                     },
                     [] {}};
             });
-        loop.after(milliseconds(10), [&] { loop.stop(); });
-        CHECK_NOTHROW(loop.run());
+        CHECK_NOTHROW(eventio::testing::run_for(loop, milliseconds(10)));
     }
     CHECK(inventories == static_cast<int>(malformed_messages().size()));
 }
@@ -192,8 +191,7 @@
                      {"entry", "life", local_endpoint(14), millicores(1'000), {}});
     entry.set_queues({{queue_id("queue"), queue_rules{}}});
     entry.start();
-    loop.after(milliseconds(3'000), [&] { loop.stop(); });
-    CHECK_NOTHROW(loop.run());
+    CHECK_NOTHROW(eventio::testing::run_for(loop, milliseconds(3'000)));
     CHECK(entry.is_owner());
 }
 
--- a/libs/eventio/tests/exceptions_test.cpp
+++ b/libs/eventio/tests/exceptions_test.cpp
@@ -23,10 +23,7 @@
         loop.on_exception(
             [this](const std::exception& failure) { failures.emplace_back(failure.what()); });
     }
-    void run_for(milliseconds limit) {
-        loop.after(limit, [this] { loop.stop(); });
-        loop.run();
-    }
+    void run_for(milliseconds limit) { testing::run_for(loop, limit); }
 };
 
 }  // namespace
@@ -73,7 +70,7 @@
     int closed = 0;
     std::vector<std::shared_ptr<message_link>> links;
     for (int i = 0; i < 2; ++i) {
-        connect_link(f.loop, local_endpoint(0), milliseconds(500),
+        connect_link(f.loop, local_endpoint(0), milliseconds(5'000),
                      [&, i](const std::shared_ptr<message_link>& link) {
                          links.push_back(link);
                          link->send(i == 0 ? "malformed" : "first");
@@ -102,7 +99,7 @@
     http_client client(f.loop, local_endpoint(1), 1);
     std::vector<call_outcome> outcomes;
     for (const char* target : {"/bad", "/good"}) {
-        client.call({"GET", target, "", {}}, milliseconds(1'000),
+        client.call({"GET", target, "", {}}, milliseconds(5'000),
                     [&](const http_result& result) { outcomes.push_back(result.outcome); });
     }
     f.run_for(milliseconds(300));
@@ -118,9 +115,9 @@
                        });
     http_client client(f.loop, local_endpoint(2), 1);
     int answered = 0;
-    client.call({"GET", "/", "", {}}, milliseconds(2'000),
+    client.call({"GET", "/", "", {}}, milliseconds(5'000),
                 [](const http_result&) { throw std::runtime_error("callback"); });
-    client.call({"GET", "/", "", {}}, milliseconds(2'000),
+    client.call({"GET", "/", "", {}}, milliseconds(5'000),
                 [&](const http_result& result) { answered += result.status == 200 ? 1 : 0; });
     f.run_for(milliseconds(300));
     CHECK(answered == 1);
@@ -135,7 +132,7 @@
         [&](const http_request&, const http_responder& respond) { held.push_back(respond); });
     http_client client(f.loop, local_endpoint(3), 1);
     std::vector<int> ended;
-    for (const auto& [number, limit] : {std::pair(0, 2'000), std::pair(1, 2'000), {2, 100}}) {
+    for (const auto& [number, limit] : {std::pair(0, 20'000), std::pair(1, 20'000), {2, 100}}) {
         client.call({"GET", "/", "", {}}, milliseconds(limit),
                     [&, number = number](const http_result& result) {
                         CHECK(result.outcome == call_outcome::not_sent);
@@ -155,11 +152,11 @@
     auto client = std::make_unique<http_client>(f.loop, local_endpoint(4), 1);
     std::vector<call_outcome> outcomes;
     for (int i = 0; i < 2; ++i) {
-        client->call({"GET", "/", "", {}}, milliseconds(400),
+        client->call({"GET", "/", "", {}}, milliseconds(1'000),
                      [&](const http_result& result) { outcomes.push_back(result.outcome); });
     }
     f.loop.after(milliseconds(50), [&] { client.reset(); });
-    f.run_for(milliseconds(700));
+    f.run_for(milliseconds(1'300));
     // The first was sent, and its answer is still awaited until its timeout.
     CHECK(outcomes == std::vector{call_outcome::not_sent, call_outcome::unknown});
 }
@@ -176,7 +173,7 @@
                        });
     http_client client(f.loop, local_endpoint(5), 1);
     for (const char* text : {"30", "30x", "3 0", "-30", ""}) {
-        client.call({"GET", "/", "", {{"Timeout-Ms", text}}}, milliseconds(1'000),
+        client.call({"GET", "/", "", {{"Timeout-Ms", text}}}, milliseconds(5'000),
                     [](const http_result&) {});
     }
     f.run_for(milliseconds(300));
--- a/libs/eventio/tests/loop_support.hpp
+++ b/libs/eventio/tests/loop_support.hpp
@@ -1,12 +1,13 @@
 #pragma once
 
-// Ports for tests that run servers and their clients on one event loop.
+// Ports and run times for tests that run servers and their clients on one event loop.
 
 #include <doctest/doctest.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <map>
 
 #include "tanagerpaddle/eventio.hpp"
@@ -48,4 +49,14 @@
     return {"127.0.0.1", ports[index].number()};
 }
 
+// Runs the loop for `limit`, in steps: if the process is not scheduled for a while, that takes up
+// one step, and the loop still gets the others.
+inline void run_for(event_loop& loop, milliseconds limit) {
+    const milliseconds step = std::max(limit / 20, milliseconds(1));
+    for (milliseconds left = limit; left.count() > 0; left -= step) {
+        loop.after(std::min(step, left), [&loop] { loop.stop(); });
+        loop.run();
+    }
+}
+
 }  // namespace tanagerpaddle::eventio::testing
