dispatch_node tests: a watch of the fake store waits by the clock

Cause: "an owner survives malformed messages from other entries and answers the next query" failed once in three runs of four tests at a time (the owner answers known: false). The fake store counted the wait of a watch in timer steps of 2 ms, so that on a busy machine a watch of 1 s took over 2 s; the owner then rightly counts its list of jobs as outdated. Change: the fake store measures the wait by the clock, as the store does. No check is changed.

--- a/libs/dispatch_node/tests/fake_store.hpp
+++ b/libs/dispatch_node/tests/fake_store.hpp
@@ -84,11 +84,11 @@
             const bool is_late = watch_delay + wait > timeout;
             loop_.after(is_late ? timeout : watch_delay + wait,
                         [this, table, after, done, is_late] {
-                            is_late ? done({}) : poll(table, after, milliseconds(0), done);
+                            is_late ? done({}) : poll(table, after, clock_.now(), done);
                         });
             return;
         }
-        poll(table, after, wait, std::move(done));
+        poll(table, after, clock_.now() + wait, std::move(done));
     }
 
     // Writes a row unconditionally, as another client.
@@ -161,7 +161,7 @@
         return result;
     }
 
-    void poll(const std::string& table, row_version after, milliseconds left,
+    void poll(const std::string& table, row_version after, instant until,
               std::function<void(const read_result&)> done) {
         static constexpr milliseconds step{2};
         read_result result;
@@ -184,16 +184,17 @@
                 result.rows.push_back({{row_table, part, key}, row.first, row.second});
             }
         }
-        if (!result.rows.empty() || left <= step) {
+        if (!result.rows.empty() || clock_.now() + step >= until) {
             loop_.after(step, [done, result] { done(result); });
             return;
         }
-        loop_.after(step, [this, table, after, left, done = std::move(done)]() mutable {
-            poll(table, after, left - step, std::move(done));
+        loop_.after(step, [this, table, after, until, done = std::move(done)]() mutable {
+            poll(table, after, until, std::move(done));
         });
     }
 
     eventio::event_loop& loop_;
+    system_clock clock_;
 };
 
 }  // namespace tanagerpaddle::dispatch::testing
