dispatch: a new owner waits for the run that its predecessor was stopping

Change: the row names the instance of that run, as for a current one, and is written when the run is found and when it has ended. A new owner counts its capacity, and awaits the inventory or the end of its lease. Only the newest such run of a task is named.

--- a/libs/dispatch/src/coordinator_state.hpp
+++ b/libs/dispatch/src/coordinator_state.hpp
@@ -45,8 +45,9 @@
     executor_incarnation incarnation;
     instant started_at;
     bool has_begun = false;
-    // Runs other than the current one that are being stopped.
+    // Runs other than the current one that are being stopped, and the instance of the newest.
     std::uint32_t orphaned_runs = 0;
+    std::optional<std::size_t> orphan_instance;
     crash_history crashes;
 
     [[nodiscard]] bool occupies_instance() const noexcept {
@@ -202,6 +203,8 @@
     void assign(const task_key& key, task_state& task, std::size_t instance);
     void unassign(const task_key& key, task_state& task);
     void requeue(const task_key& key, task_state& task);
+    // The row of the task has changed; a job that has ended stores its phase only.
+    void mark_open_job_dirty(const task_key& key);
     // True if the run is the task's current one, and on this instance.
     [[nodiscard]] bool is_expected(std::size_t instance, const task_key& key, run_number run);
     // Stops a run that a report lists. Runs that are to exit, or whose stop was ordered before, are
--- a/libs/dispatch/src/records.cpp
+++ b/libs/dispatch/src/records.cpp
@@ -288,8 +288,10 @@
             }
             done.back()[2].push_back(i);
         } else if (task.run.value() > 0) {
-            const std::string instance =
-                task.instance ? instances[*task.instance].name.value() : "";
+            // A new owner awaits the run that is being stopped as it does the current one.
+            const auto occupied =
+                task.instance || task.orphaned_runs == 0 ? task.instance : task.orphan_instance;
+            const std::string instance = occupied ? instances[*occupied].name.value() : "";
             histories.push_back(encode_history({job.submitted.id, k, s, i}, task, instance));
             if (task.instance && task.incarnation != executor_incarnation(0)) {
                 executors[instance] = task.incarnation.value();
--- a/libs/dispatch/src/task_lifecycle.cpp
+++ b/libs/dispatch/src/task_lifecycle.cpp
@@ -92,7 +92,11 @@
     task.percent = 0;
     task.has_begun = false;
     task.incarnation = executor_incarnation(0);
-    if (auto* job = find_job(key.job); job != nullptr && !job->is_terminal()) {
+    mark_open_job_dirty(key);
+}
+
+void coordinator::state::mark_open_job_dirty(const task_key& key) {
+    if (const auto* job = find_job(key.job); job != nullptr && !job->is_terminal()) {
         mark_dirty(key);
     }
 }
@@ -131,6 +135,8 @@
         instance.orphaned_runs.emplace(id, demand);
         if (task != nullptr) {
             ++task->orphaned_runs;
+            task->orphan_instance = index;
+            mark_open_job_dirty(key);
         }
         instance.committed += demand;
     }
@@ -155,6 +161,7 @@
     // The job may have been unknown when its run was found.
     if (task != nullptr && task->orphaned_runs > 0) {
         --task->orphaned_runs;
+        mark_open_job_dirty(key);
     }
 }
 
