--- a/libs/dispatch/src/coordinator_state.hpp
+++ b/libs/dispatch/src/coordinator_state.hpp
@@ -250,6 +250,7 @@
     // Adds the job's next rows to a write; false if some are left for a later one.
     bool add_rows(job_state& job, std::vector<progress_row>& rows, std::size_t& bytes);
     void send_starts(job_write& written);
+    void flush_acknowledgements();
 
     // --- crashes (crashes.cpp)
     void remove_executor(std::size_t instance, const std::vector<run_age>& ages = {});
@@ -283,7 +284,6 @@
     void place_task(const ready_step& step, std::uint32_t index, std::size_t instance);
     [[nodiscard]] bool is_known_unplaceable(const ready_step& step) const;
     bool has_permits(const ready_step& step);
-    void flush_acknowledgements();
     [[nodiscard]] std::vector<ready_step> collect_ready_steps();
 
     options config;
--- a/libs/dispatch/src/planning.cpp
+++ b/libs/dispatch/src/planning.cpp
@@ -488,18 +488,4 @@
            min_slack(instance, interference, spec.image, 0) < 0;
 }
 
-void coordinator::state::flush_acknowledgements() {
-    if (active_write || !dirty_jobs.empty()) {
-        return;
-    }
-    for (auto& instance : instances) {
-        if (instance.is_linked && instance.executor &&
-            instance.processed_completion > instance.acknowledged_completion) {
-            instance.acknowledged_completion = instance.processed_completion;
-            orders.acknowledge(instance.name, instance.executor->incarnation,
-                               instance.processed_completion);
-        }
-    }
-}
-
 }  // namespace tanagerpaddle::dispatch
--- a/libs/dispatch/src/progress.cpp
+++ b/libs/dispatch/src/progress.cpp
@@ -366,6 +366,20 @@
     }
 }
 
+void coordinator::state::flush_acknowledgements() {
+    if (active_write || !dirty_jobs.empty()) {
+        return;
+    }
+    for (auto& instance : instances) {
+        if (instance.is_linked && instance.executor &&
+            instance.processed_completion > instance.acknowledged_completion) {
+            instance.acknowledged_completion = instance.processed_completion;
+            orders.acknowledge(instance.name, instance.executor->incarnation,
+                               instance.processed_completion);
+        }
+    }
+}
+
 void coordinator::write_failed() {
     auto write = std::move(*state_->active_write);
     state_->active_write.reset();
