--- a/libs/dispatch/src/coordinator_state.hpp
+++ b/libs/dispatch/src/coordinator_state.hpp
@@ -45,8 +45,9 @@
     executor_incarnation incarnation;
     instant started_at;
     bool has_begun = false;
-    // Runs other than the current one that are being stopped.
+    // Runs other than the current one that are being stopped, and the instance of the newest.
     std::uint32_t orphaned_runs = 0;
+    std::optional<std::size_t> orphan_instance;
     crash_history crashes;
 
     [[nodiscard]] bool occupies_instance() const noexcept {
@@ -202,6 +203,8 @@
     void assign(const task_key& key, task_state& task, std::size_t instance);
     void unassign(const task_key& key, task_state& task);
     void requeue(const task_key& key, task_state& task);
+    // The row of the task has changed; a job that has ended stores its phase only.
+    void mark_open_job_dirty(const task_key& key);
     // True if the run is the task's current one, and on this instance.
     [[nodiscard]] bool is_expected(std::size_t instance, const task_key& key, run_number run);
     // Stops a run that a report lists. Runs that are to exit, or whose stop was ordered before, are
@@ -247,6 +250,7 @@
     // Adds the job's next rows to a write; false if some are left for a later one.
     bool add_rows(job_state& job, std::vector<progress_row>& rows, std::size_t& bytes);
     void send_starts(job_write& written);
+    void flush_acknowledgements();
 
     // --- crashes (crashes.cpp)
     void remove_executor(std::size_t instance, const std::vector<run_age>& ages = {});
@@ -280,7 +284,6 @@
     void place_task(const ready_step& step, std::uint32_t index, std::size_t instance);
     [[nodiscard]] bool is_known_unplaceable(const ready_step& step) const;
     bool has_permits(const ready_step& step);
-    void flush_acknowledgements();
     [[nodiscard]] std::vector<ready_step> collect_ready_steps();
 
     options config;
