--- a/libs/dispatch/tests/world.cpp
+++ b/libs/dispatch/tests/world.cpp
@@ -18,7 +18,6 @@
 constexpr milliseconds max_start_after_cancellation{3'000};
 constexpr milliseconds max_contact_time{3'000};
 constexpr milliseconds max_stop_time{900};
-constexpr milliseconds time_to_crash{10};
 // Crashes under a task, and the starts after them that are one too many.
 constexpr std::uint32_t crashes_before_limit = 3;
 constexpr std::uint32_t excess_starts = 3;
@@ -67,6 +66,12 @@
 
 // ---------------------------------------------------------------------------------------------
 
+// When a task crashes the executor that has started it.
+struct time_to_crash {
+    milliseconds age;
+    milliseconds jitter;
+};
+
 struct sim_run {
     resources demand;
     instant began_at;
@@ -254,6 +259,7 @@
     void shrink_for_a_while(std::size_t index);
     [[nodiscard]] resources counted_capacity(std::size_t index) const;
     void restart_executor(std::size_t index);
+    [[nodiscard]] milliseconds draw(const time_to_crash& when);
     void record_acknowledged(sim_executor& executor, std::uint64_t number);
 
     world_options options;
@@ -285,7 +291,7 @@
     // When the last takeover or outage of the store ended.
     instant calm_since;
     std::size_t start_count = 0;
-    std::set<task_key> crashing;
+    std::map<task_key, time_to_crash> crashing;
     std::map<task_key, std::uint32_t> crash_counts;
     // The same for all tasks, whatever crashed the executor.
     std::map<task_key, std::uint32_t> executor_crashes;
@@ -524,6 +530,13 @@
     executor.acknowledged = std::max(executor.acknowledged, number);
 }
 
+// Draws only with jitter, so that the seeds of other tests keep their meaning.
+milliseconds world::state::draw(const time_to_crash& when) {
+    const auto bound = static_cast<std::uint64_t>(when.jitter.count());
+    return bound == 0 ? when.age
+                      : when.age + milliseconds(static_cast<std::int64_t>(random.below(bound)));
+}
+
 void world::state::restart_executor(std::size_t index) {
     auto& executor = instances[index]->executor;
     executor.is_up = false;
@@ -584,8 +597,9 @@
                 run.how = owner->random.chance(owner->faults.failed_run) ? run_outcome::failed
                                                                          : run_outcome::succeeded;
                 executor.running[key] = run;
-                if (owner->crashing.count(order.task) != 0) {
-                    owner->at(time_to_crash, [this, key] {
+                if (const auto crash = owner->crashing.find(order.task);
+                    crash != owner->crashing.end()) {
+                    owner->at(owner->draw(crash->second), [this, key] {
                         if (executor.is_up && executor.running.count(key) != 0) {
                             owner->restart_executor(index);
                         }
@@ -871,8 +885,8 @@
     state_->restart_executor(instance);
 }
 
-void world::make_crashing(const task_key& task) {
-    state_->crashing.insert(task);
+void world::make_crashing(const task_key& task, milliseconds age, milliseconds jitter) {
+    state_->crashing.insert_or_assign(task, time_to_crash{age, jitter});
 }
 
 std::uint32_t world::crashes_by(const task_key& task) const {
@@ -880,6 +894,11 @@
     return found == state_->crash_counts.end() ? 0 : found->second;
 }
 
+std::uint32_t world::crashes_under(const task_key& task) const {
+    const auto found = state_->executor_crashes.find(task);
+    return found == state_->executor_crashes.end() ? 0 : found->second;
+}
+
 void world::cut_link(std::size_t instance, milliseconds time) {
     auto& target = *state_->instances.at(instance);
     target.is_cut = true;
--- a/libs/dispatch/tests/world.hpp
+++ b/libs/dispatch/tests/world.hpp
@@ -58,9 +58,10 @@
     // Replaces the coordinator by a new one that has only the table and the agents' reports.
     void take_over();
     void crash_executor(std::size_t instance);
-    // The task crashes each executor that starts it, 10 ms after the start. Three more starts after
-    // three such crashes are a violation.
-    void make_crashing(const task_key& task);
+    // The task crashes each executor that starts it, `age` after the start plus a random time below
+    // `jitter`. Three more starts after three such crashes are a violation.
+    void make_crashing(const task_key& task, milliseconds age = milliseconds(10),
+                       milliseconds jitter = milliseconds(0));
     void cut_link(std::size_t instance, milliseconds time);
     void drain(std::size_t instance);
     // Runs on the instance make no progress until they are stopped.
@@ -78,6 +79,8 @@
     [[nodiscard]] std::size_t starts() const;
     // Number of executors that the task has crashed.
     [[nodiscard]] std::uint32_t crashes_by(const task_key& task) const;
+    // Number of executors that crashed, for whatever cause, while they had the task.
+    [[nodiscard]] std::uint32_t crashes_under(const task_key& task) const;
     // Descriptions of violated invariants.
     [[nodiscard]] const std::vector<std::string>& violations() const;
     [[nodiscard]] coordinator& jobs();
