dispatch: an agent's inventory tells which executors have ended

Cause: an agent reported the end of its executor once, on the link that it had at that moment. The executor ended 0.4 s before the next owner claimed the agent, so that nobody heard of it, and an inventory without an executor also means that its lists have not been read yet. The new owner kept the tasks for the 11.8 s after which grants to unclaimed agents have expired. Ruled out: a crash count or an isolation (16 tasks of 10 jobs were released in one millisecond by executor_expired); an end that the agent had not noticed (executor_unreachable at 13.05 s). Change: the end is part of the agent's state and of each inventory: the newest executor that has ended, whether it had announced it, and its runs; and whether no executor is alive at all, which an agent that has restarted finds out as well. An owner that hears of it releases the tasks at once; one that left as announced raises no suspicion against its tasks. Messages of earlier versions lack both fields, and earlier owners ignore them.

--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -187,11 +187,26 @@
     milliseconds age{0};
 };
 
-// What an agent reports to the coordinator that has claimed it.
+// An executor that has ended, as its agent remembers it.
+struct executor_end {
+    executor_incarnation incarnation;
+    // It had announced that it would leave.
+    bool was_draining = false;
+    // The runs that it had.
+    std::vector<run_age> ages;
+};
+
+// What an agent reports to the coordinator that has claimed it. It holds all that the agent knows:
+// events that happened while no coordinator was linked are not repeated.
 struct inventory {
+    // The executor, once its lists have been read under the current claim.
     std::optional<executor_info> executor;
     std::vector<running_task> running;
     std::vector<finished_task> finished;
+    // The newest executor that is known to have ended; those before it have ended as well.
+    std::optional<executor_end> ended{};
+    // No executor of the instance is alive, also none that the agent does not know.
+    bool is_vacant = false;
 };
 
 enum class start_outcome : std::uint8_t {
@@ -547,6 +562,7 @@
 
     // --- instances ------------------------------------------------------------------------------
     // The agent of `instance` now accepts orders of this coordinator; `found` is its inventory.
+    // Called again for each further inventory, such as after the end of an executor.
     void instance_claimed(const instance_name& instance, const inventory& found);
     // The link to the agent is closed. Its runs count as running until `expires_at`.
     void instance_disconnected(const instance_name& instance, instant expires_at);
@@ -555,7 +571,8 @@
     [[nodiscard]] bool has_executor(const instance_name& instance) const;
     void executor_changed(const instance_name& instance, const executor_info& info);
     // The executor has crashed or left; none of its runs is alive. `ages` holds the runs that the
-    // agent knew of; empty if the agent does not report them.
+    // agent knew of; empty if the agent does not report them. Ignored if the instance's executor is
+    // not known yet: the agent's next inventory tells of the end.
     void executor_terminated(const instance_name& instance, executor_incarnation incarnation,
                              const std::vector<run_age>& ages = {});
     void start_reported(const instance_name& instance, const task_key& task, run_number run,
@@ -693,10 +710,11 @@
     // are ignored.
     bool executor_reported(const executor_info& info);
     // Returns true if the coordinator must get an inventory: this is the first view of this
-    // incarnation under the current claim.
+    // incarnation under the current claim, or the view of a newer executor than the known one.
     bool executor_view_received(const executor_view& view);
-    // The executor's port refuses connections, or it has left.
-    void executor_unreachable();
+    // The executor's port refuses connections: none of the instance is alive. Returns true if the
+    // coordinator must get an inventory, since this was not known.
+    bool executor_unreachable();
     void start_answered(const task_key& task, run_number run, start_answer answer);
     void stop_answered(const task_key& task, run_number run, bool is_confirmed);
     [[nodiscard]] const std::optional<executor_info>& executor() const noexcept {
@@ -727,6 +745,9 @@
     using run_key = std::pair<task_key, run_number>;
 
     void reset_executor_state();
+    void record_end();
+    // The known executor has been replaced or is gone.
+    void end_executor();
     void update_sample();
     void update_pace();
     // True if the executor may start a task now.
@@ -745,6 +766,8 @@
     epoch_number epoch_;
     instant granted_until_;
     std::optional<executor_info> executor_;
+    std::optional<executor_end> last_end_;
+    bool is_vacant_ = false;
     // The lists of this incarnation have been read under the current epoch: the executor refuses
     // orders of earlier epochs, so that no run can start that the lists do not contain.
     bool has_view_ = false;
--- a/libs/dispatch/src/agent.cpp
+++ b/libs/dispatch/src/agent.cpp
@@ -53,6 +53,8 @@
 
 inventory agent::current_inventory() const {
     inventory found;
+    found.ended = last_end_;
+    found.is_vacant = is_vacant_;
     if (!has_view_) {
         return found;
     }
@@ -158,8 +160,10 @@
         return false;
     }
     if (!executor_ || executor_->incarnation != info.incarnation) {
+        record_end();
         reset_executor_state();
         executor_ = info;
+        is_vacant_ = false;
         return false;  // the first view brings an inventory
     }
     const bool was_draining = executor_->is_draining;
@@ -174,8 +178,10 @@
 }
 
 bool agent::executor_view_received(const executor_view& view) {
+    is_vacant_ = false;
     if (executor_ && executor_->incarnation < view.incarnation) {
-        executor_unreachable();  // a new incarnation, not reported yet
+        end_executor();  // a new incarnation, not reported yet
+        return true;
     }
     if (!executor_ || executor_->incarnation != view.incarnation || view.epoch != epoch_) {
         return false;
@@ -253,15 +259,27 @@
     }
 }
 
-void agent::executor_unreachable() {
+bool agent::executor_unreachable() {
+    const bool is_new = executor_ || !is_vacant_;
+    is_vacant_ = true;
+    end_executor();
+    return is_new;
+}
+
+void agent::record_end() {
+    if (executor_) {
+        last_end_ = executor_end{executor_->incarnation, executor_->is_draining, run_ages()};
+    }
+}
+
+void agent::end_executor() {
     if (!executor_) {
         return;
     }
-    const auto incarnation = executor_->incarnation;
-    const auto ages = run_ages();
+    record_end();
     reset_executor_state();
     executor_.reset();
-    orders_.report_executor_terminated(incarnation, ages);
+    orders_.report_executor_terminated(last_end_->incarnation, last_end_->ages);
 }
 
 void agent::record_begin(const run_key& key) {
--- a/libs/dispatch/src/coordinator.cpp
+++ b/libs/dispatch/src/coordinator.cpp
@@ -141,6 +141,7 @@
 void coordinator::instance_claimed(const instance_name& name, const inventory& found) {
     const auto index = state_->instance_index(name);
     auto& instance = state_->instances[index];
+    state_->remove_ended_executors(index, found);
     const bool is_other_life = instance.executor && found.executor &&
                                instance.executor->incarnation != found.executor->incarnation;
     if (is_other_life) {
--- a/libs/dispatch/src/coordinator_state.hpp
+++ b/libs/dispatch/src/coordinator_state.hpp
@@ -254,6 +254,8 @@
 
     // --- crashes (crashes.cpp)
     void remove_executor(std::size_t instance, const std::vector<run_age>& ages = {});
+    // Removes the executors of the instance that its agent knows to have ended.
+    void remove_ended_executors(std::size_t instance, const inventory& found);
     void remove_unreachable_executor(std::size_t instance);
     void remove_tasks_of_earlier_executors(std::size_t instance, executor_incarnation found);
     crash_suspects collect_suspects(std::size_t instance, const std::vector<task_key>& keys,
--- a/libs/dispatch/src/crashes.cpp
+++ b/libs/dispatch/src/crashes.cpp
@@ -55,6 +55,49 @@
     }
 }
 
+void coordinator::state::remove_ended_executors(std::size_t index, const inventory& found) {
+    if (!found.ended && !found.is_vacant) {
+        return;
+    }
+    auto& instance = instances[index];
+    const auto end = found.ended.value_or(executor_end{});
+    if (instance.executor) {
+        const auto incarnation = instance.executor->incarnation;
+        const bool is_this_end = found.ended && end.incarnation == incarnation;
+        if (is_this_end && end.was_draining) {
+            instance.executor->is_draining = true;  // announced while no link was open
+        }
+        if (found.is_vacant || incarnation <= end.incarnation) {
+            remove_executor(index, is_this_end ? end.ages : std::vector<run_age>{});
+        }
+        return;
+    }
+    // An earlier owner started the tasks, or this one on an earlier link.
+    std::vector<task_key> ended;
+    bool has_left = end.was_draining;
+    for (const auto& key : instance.tasks) {
+        const auto incarnation = find_task(key)->incarnation;
+        // Rows of earlier versions do not name the executor.
+        const bool is_known = incarnation != executor_incarnation(0);
+        if (found.is_vacant || (is_known && incarnation <= end.incarnation)) {
+            ended.push_back(key);
+            has_left = has_left && incarnation == end.incarnation;
+        }
+    }
+    auto suspects = has_left ? crash_suspects{} : collect_suspects(index, ended, end.ages);
+    // An agent that has restarted has not seen the end either.
+    suspects.is_unreachable = !found.ended;
+    for (const auto& key : ended) {
+        requeue(key, *find_task(key));
+    }
+    if (found.is_vacant) {
+        clear_instance(index);  // runs that were being stopped
+    }
+    if (!has_left && !ended.empty()) {
+        record_crash(index, std::move(suspects));
+    }
+}
+
 // Requeues the tasks of an executor whose lease has expired. It may have crashed before, which
 // nobody has seen: no run counts as having begun.
 void coordinator::state::remove_unreachable_executor(std::size_t index) {
--- a/libs/dispatch/tests/world.cpp
+++ b/libs/dispatch/tests/world.cpp
@@ -716,8 +716,9 @@
                                    coordinator& target) { target.instance_claimed(n, found); });
             }
         }
-    } else {
-        instance.core->executor_unreachable();
+    } else if (instance.core->executor_unreachable()) {
+        to_coordinator(instance, [n = instance.name, found = instance.core->current_inventory()](
+                                     coordinator& target) { target.instance_claimed(n, found); });
     }
     at(hold_interval, [this, index] { loop_instance(index); });
 }
--- a/libs/dispatch_node/src/agent_node.cpp
+++ b/libs/dispatch_node/src/agent_node.cpp
@@ -239,7 +239,9 @@
                           {{"executor", core.executor()->id.value()}});
             }
             has_executor_clock = false;
-            core.executor_unreachable();
+            if (core.executor_unreachable()) {
+                send(messages::encode(core.current_inventory()));
+            }
         }
         if (needs_delay) {
             loop.after(sync_retry_delay, [self = shared_from_this(), sequence = sync_sequence] {
--- a/libs/dispatch_node/src/messages.cpp
+++ b/libs/dispatch_node/src/messages.cpp
@@ -166,11 +166,36 @@
     return ages;
 }
 
+namespace {
+
+json encode(const executor_end& end) {
+    json ages = json::array();
+    for (const auto& age : end.ages) {
+        ages.push_back(messages::encode(age));
+    }
+    return {{"life", end.incarnation.value()},
+            {"draining", end.was_draining},
+            {"ages", std::move(ages)}};
+}
+
+executor_end decode_end(const json& in) {
+    return {executor_incarnation(in.at("life").get<std::int64_t>()), in.at("draining").get<bool>(),
+            decode_run_ages(in)};
+}
+
+}  // namespace
+
 json encode(const inventory& found) {
     json out{{"t", "inventory"}, {"running", json::array()}, {"finished", json::array()}};
     if (found.executor) {
         out["executor"] = encode(*found.executor);
     }
+    if (found.ended) {
+        out["ended"] = encode(*found.ended);
+    }
+    if (found.is_vacant) {
+        out["vacant"] = true;
+    }
     for (const auto& run : found.running) {
         out["running"].push_back(encode(run));
     }
@@ -185,6 +210,11 @@
     if (in.contains("executor")) {
         found.executor = decode_executor(in.at("executor"));
     }
+    // Agents of earlier versions send neither.
+    if (in.contains("ended")) {
+        found.ended = decode_end(in.at("ended"));
+    }
+    found.is_vacant = in.value("vacant", false);
     for (const auto& run : in.at("running")) {
         found.running.push_back(decode_running(run));
     }
