dispatch: a claim bounds the grants of earlier owners

Cause: the bound for the runs of agents that a new owner cannot claim, 7 s of renewals without the store and one lease after the earlier owner's last write, also held for agents that it had claimed and that have no executor. Change: an agent takes grants of the owner that has claimed it only, and an owner grants nothing to an agent without an executor.

--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -562,9 +562,11 @@
 
     // --- instances ------------------------------------------------------------------------------
     // The agent of `instance` now accepts orders of this coordinator; `found` is its inventory.
-    // Called again for each further inventory, such as after the end of an executor.
+    // Called again for each further inventory, such as after the end of an executor. Runs on an
+    // instance without a known executor end at the latest one expiry_delay after the first.
     void instance_claimed(const instance_name& instance, const inventory& found);
-    // The link to the agent is closed. Its runs count as running until `expires_at`.
+    // The link to the agent is closed. Its runs count as running until `expires_at`, or until the
+    // earlier time at which those of an instance without a known executor end.
     void instance_disconnected(const instance_name& instance, instant expires_at);
     // True if the instance's executor is known. An agent without one must get no grants: the runs
     // that an earlier owner started there count as ended when the earlier grants expire.
--- a/libs/dispatch/src/coordinator.cpp
+++ b/libs/dispatch/src/coordinator.cpp
@@ -149,6 +149,12 @@
     } else if (!instance.executor && found.executor) {
         state_->remove_tasks_of_earlier_executors(index, found.executor->incarnation);
     }
+    // The agent takes no grants of earlier owners any more, and this one grants nothing to an agent
+    // without an executor.
+    const instant granted_runs_end_by = state_->time.now() + state_->config.timing.expiry_delay();
+    const bool has_grants = instance.is_linked && instance.executor;
+    instance.expires_at =
+        has_grants ? granted_runs_end_by : std::min(instance.expires_at, granted_runs_end_by);
     if (!instance.is_linked) {
         instance.is_linked = true;
         instance.linked_at = state_->time.now();
@@ -173,7 +179,8 @@
     const auto index = state_->instance_index(name);
     auto& instance = state_->instances[index];
     instance.is_linked = false;
-    instance.expires_at = expires_at;
+    instance.expires_at =
+        instance.executor ? expires_at : std::min(instance.expires_at, expires_at);
     const std::vector<task_key> keys(instance.tasks.begin(), instance.tasks.end());
     for (const auto& key : keys) {
         auto& task = *state_->find_task(key);
