dispatch_node: log what an owner waits for when an agent has no executor

Change: runs_unresolved with the number of tasks and the time that is left; agent_claimed names the newest executor that has ended and whether the instance is vacant; executor_unreachable names the executor's lifetime and whether a coordinator was linked.

--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -571,6 +571,13 @@
     // True if the instance's executor is known. An agent without one must get no grants: the runs
     // that an earlier owner started there count as ended when the earlier grants expire.
     [[nodiscard]] bool has_executor(const instance_name& instance) const;
+    // The tasks of an instance whose executor is not known, and when their runs have ended unless
+    // an inventory resolves them before.
+    struct unresolved_tasks {
+        std::size_t count = 0;
+        instant runs_end_by;
+    };
+    [[nodiscard]] unresolved_tasks unresolved(const instance_name& instance) const;
     void executor_changed(const instance_name& instance, const executor_info& info);
     // The executor has crashed or left; none of its runs is alive. `ages` holds the runs that the
     // agent knew of; empty if the agent does not report them. Ignored if the instance's executor is
--- a/libs/dispatch/src/coordinator.cpp
+++ b/libs/dispatch/src/coordinator.cpp
@@ -195,6 +195,15 @@
     return index && state_->instances[*index].executor;
 }
 
+coordinator::unresolved_tasks coordinator::unresolved(const instance_name& name) const {
+    const auto index = state_->find_instance(name);
+    if (!index || state_->instances[*index].executor) {
+        return {};
+    }
+    const auto& instance = state_->instances[*index];
+    return {instance.tasks.size(), instance.expires_at};
+}
+
 void coordinator::executor_changed(const instance_name& name, const executor_info& info) {
     const auto index = state_->instance_index(name);
     auto& instance = state_->instances[index];
--- a/libs/dispatch_node/src/agent_node.cpp
+++ b/libs/dispatch_node/src/agent_node.cpp
@@ -236,7 +236,9 @@
                    ++refused_connections >= max_refused_connections) {
             if (core.executor()) {
                 log_event(log_level::warning, "executor_unreachable",
-                          {{"executor", core.executor()->id.value()}});
+                          {{"executor", core.executor()->id.value()},
+                           {"lifetime", core.executor()->incarnation.value()},
+                           {"has_coordinator", link != nullptr}});
             }
             has_executor_clock = false;
             if (core.executor_unreachable()) {
--- a/libs/dispatch_node/src/owner_links.cpp
+++ b/libs/dispatch_node/src/owner_links.cpp
@@ -169,8 +169,11 @@
               {{"agent", instance.value()},
                {"has_executor", found.executor.has_value()},
                {"running", found.running.size()},
-               {"finished", found.finished.size()}});
+               {"finished", found.finished.size()},
+               {"ended_lifetime", found.ended ? found.ended->incarnation.value() : 0},
+               {"vacant", found.is_vacant}});
     coordinator_.instance_claimed(instance, found);
+    log_unresolved(instance);
     if (has_restored_pressures_) {
         send_pressures(agent, shared_pressures_);
     } else {
@@ -178,6 +181,15 @@
     }
 }
 
+void owner_session::log_unresolved(const instance_name& instance) const {
+    const auto [count, runs_end_by] = coordinator_.unresolved(instance);
+    if (count > 0) {
+        const auto left = std::chrono::duration_cast<milliseconds>(runs_end_by - env_.time->now());
+        log_event(log_level::info, "runs_unresolved",
+                  {{"agent", instance.value()}, {"tasks", count}, {"ended_in_ms", left}});
+    }
+}
+
 void owner_session::on_pressures(const instance_name& instance, agent_link& agent,
                                  const json& message) {
     const auto pressures = messages::decode_pressures(message.at("pairs"));
--- a/libs/dispatch_node/src/owner_session.hpp
+++ b/libs/dispatch_node/src/owner_session.hpp
@@ -96,6 +96,8 @@
     void handle(const instance_name& instance, const json& message);
     void on_inventory(const instance_name& instance, agent_link& agent,
                       const messages::json& message);
+    // Logs the tasks that wait until their runs have ended, since the executor is not known.
+    void log_unresolved(const instance_name& instance) const;
     void on_pressures(const instance_name& instance, agent_link& agent,
                       const messages::json& message);
     void on_heartbeat(const instance_name& instance, agent_link& agent, const json& message);
