fake_store: a watch that is answered late is answered also if nothing changes

Cause: random_cancellations_test failed in a full run of scripts/test on: rows of cancellations were left, 57 of them known to the owner. Since the store of the tests ends a watch by a deadline. For a watch with a delay below 600 ms the deadline was deadline{}, which never passes; the wait of 0 ms before it ended at once. Such a watch was answered only after the next change of the table. If the last one of a run met no more changes, it was never answered: the owner's list of jobs grew older than 2 s, so that the owner removed no more rows, and the removals would have been the changes. Change: the deadline of a delayed watch is the time at which it is polled. A case of table_watcher_test holds the store of the tests to it; no check is changed.

--- a/libs/dispatch_node/tests/fake_store.hpp
+++ b/libs/dispatch_node/tests/fake_store.hpp
@@ -96,7 +96,7 @@
             const bool is_late = watch_delay + wait > timeout;
             loop_.after(is_late ? timeout : watch_delay + wait,
                         [this, table, after, done, is_late] {
-                            is_late ? done({}) : poll(table, after, deadline{}, done);
+                            is_late ? done({}) : poll(table, after, deadline(time_.now()), done);
                         });
             return;
         }
--- a/libs/dispatch_node/tests/table_watcher_test.cpp
+++ b/libs/dispatch_node/tests/table_watcher_test.cpp
@@ -71,6 +71,17 @@
     CHECK_FALSE(f.keys.empty());
 }
 
+// Guards against tests of late answers in which the store gives no answer at all: nothing changes,
+// and the list of the watcher grows old for good.
+TEST_CASE("a watch without changes is answered late, and watched again") {
+    fixture f;
+    f.store.watch_delay = milliseconds(300);
+    const instant begun = f.time.now();
+    f.run_for(milliseconds(6'000));
+    CHECK(f.store.watches >= 3);
+    CHECK(f.watcher.confirmed_at() - begun > milliseconds(1'000));
+}
+
 // Guards against an owner that acts on its old list after a silence that has cost the history too.
 TEST_CASE("a read that the store loses after a silence is repeated within 2 s") {
     fixture f;
