dispatch: an executor that is known again is not reported as ended

Cause: see the test before; an agent went on naming an executor as ended that it had taken for ended while it started, or that has a lower incarnation than its predecessor, so that a new owner started the executor's tasks a second time. Change: an inventory names the newest executor that has ended only if the agent knows no executor, or a newer one. What an end has told the owner before is not affected; without it the tasks of earlier executors wait for the lists, as they did before.

--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -203,7 +203,8 @@
     std::optional<executor_info> executor;
     std::vector<running_task> running;
     std::vector<finished_task> finished;
-    // The newest executor that is known to have ended; those before it have ended as well.
+    // The newest executor that is known to have ended; those before it have ended as well. Unset
+    // while the agent knows one that is not newer.
     std::optional<executor_end> ended{};
     // No executor of the instance is alive, also none that the agent does not know.
     bool is_vacant = false;
--- a/libs/dispatch/src/agent.cpp
+++ b/libs/dispatch/src/agent.cpp
@@ -53,7 +53,11 @@
 
 inventory agent::current_inventory() const {
     inventory found;
-    found.ended = last_end_;
+    // One that is known again may be alive: it refused connections while it started, or a clock was
+    // set back before.
+    if (last_end_ && (!executor_ || last_end_->incarnation < executor_->incarnation)) {
+        found.ended = last_end_;
+    }
     found.is_vacant = is_vacant_;
     if (!has_view_) {
         return found;
