dispatch: a late report does not replace what is known of an executor's end

Change: an agent records the end of an executor once, and only of one newer than the last; a view of an executor clears the record of an end that is not older, since it is alive.

--- a/libs/dispatch/src/agent.cpp
+++ b/libs/dispatch/src/agent.cpp
@@ -190,6 +190,9 @@
     if (!executor_ || executor_->incarnation != view.incarnation || view.epoch != epoch_) {
         return false;
     }
+    if (last_end_ && last_end_->incarnation >= view.incarnation) {
+        last_end_.reset();  // it is alive
+    }
     const bool is_first = !has_view_;
     has_view_ = true;
     ++view_count_;
@@ -271,8 +274,13 @@
 }
 
 void agent::record_end() {
-    if (executor_) {
+    // One that has ended before has only been reported late: a view would have cleared its end.
+    const bool is_new =
+        executor_ && (!last_end_ || last_end_->incarnation < executor_->incarnation);
+    if (is_new) {
         last_end_ = executor_end{executor_->incarnation, executor_->is_draining, run_ages()};
+    } else if (executor_ && last_end_->incarnation == executor_->incarnation) {
+        last_end_->was_draining = last_end_->was_draining || executor_->is_draining;
     }
 }
 
@@ -281,9 +289,11 @@
         return;
     }
     record_end();
+    const auto incarnation = executor_->incarnation;
+    const auto ages = run_ages();
     reset_executor_state();
     executor_.reset();
-    orders_.report_executor_terminated(last_end_->incarnation, last_end_->ages);
+    orders_.report_executor_terminated(incarnation, ages);
 }
 
 void agent::record_begin(const run_key& key) {
