protocol: a value out of range is not printed into its error

Cause: an error for a number out of range printed the value. With a list or an object of 100,000 levels in place of any number (a port, an incarnation, an epoch, an enumerator) the printing of nlohmann::json recursed over the levels and the process ended. Whoever could write one row entry/<id>, partition/<n>, group/..., domain/<name> or config/current ended each entry that read it, again after each restart. Errors of the library also repeated the last token in full. Change: only numbers are printed; of other values the type is named. What the library says is cut at 300 bytes. Numbers that do not fit were refused before.

--- a/libs/protocol/src/json.cpp
+++ b/libs/protocol/src/json.cpp
@@ -9,9 +9,15 @@
 namespace tanagerpaddle {
 namespace {
 
+// Enough for the library's message with the position in the text.
+constexpr std::size_t max_shown_failure_bytes = 300;
+
 [[noreturn]] void throw_out_of_range(const nlohmann::json& j) {
+    // Only numbers are shown: the text of other values is as long and as deep as the sender chose,
+    // and printing it takes stack for each level.
+    const std::string shown = j.is_number() ? j.dump() : std::string("of type ") + j.type_name();
     throw error(result_code::malformed_request,
-                "not a valid message: " + j.dump() + " is out of range");
+                "not a valid message: a value " + shown + " is out of range");
 }
 
 // The library converts numbers without a check of their range.
@@ -222,8 +228,10 @@
     try {
         return nlohmann::json::parse(text).get<Message>();
     } catch (const nlohmann::json::exception& failure) {
+        // The library repeats the last token, which is as long as the sender chose.
         throw error(result_code::malformed_request,
-                    std::string("not a valid message: ") + failure.what());
+                    "not a valid message: " +
+                        std::string(failure.what()).substr(0, max_shown_failure_bytes));
     }
 }
 
