rpc: an odd JSON-RPC answer is an error of the call

Cause: libjsonrpccpp declares that its client throws its own exception only. Any error of jsoncpp within it (an answer nested deeper than 1,000 levels, an error whose code is no 32-bit integer or whose message is no text) ended the calling process: an agent that syncs, an entry that sends a digest. The same on the server side escaped as an internal error without a JSON-RPC response. An answer with the error code 0, or the result header 0 with another status than 200, became an error with the code "ok", and the agent took its sync for done. Change: an answer is parsed and its envelope checked before the library sees it; a request is parsed first as well, and what the library lets pass is answered by an error. A failed call never carries "ok".

--- a/libs/rpc/src/jsonrpc/bridge.cpp
+++ b/libs/rpc/src/jsonrpc/bridge.cpp
@@ -19,10 +19,14 @@
     const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
     Json::Value value;
     std::string problems;
-    if (!reader->parse(text.data(), text.data() + text.size(), &value, &problems)) {
-        throw call_failure(jsonrpc::Errors::ERROR_RPC_JSON_PARSE_ERROR, problems);
+    try {
+        if (reader->parse(text.data(), text.data() + text.size(), &value, &problems)) {
+            return value;
+        }
+    } catch (const Json::Exception& failure) {  // nested deeper than the library reads
+        problems = failure.what();
     }
-    return value;
+    throw call_failure(jsonrpc::Errors::ERROR_RPC_JSON_PARSE_ERROR, problems);
 }
 
 std::string write(const Json::Value& value) {
@@ -31,6 +35,32 @@
     return Json::writeString(builder, value);
 }
 
+// libjsonrpccpp declares that its client throws its own type only, so that any error of jsoncpp
+// within it ends the process: nesting, and values of another type or size than it reads.
+void check_answer(const std::string& text) {
+    const Json::Value answer = parse(text);
+    bool is_sound = answer.isObject() && answer["jsonrpc"].isString() &&
+                    (answer["id"].isInt() || answer["id"].isNull());
+    if (is_sound && answer.isMember("error")) {
+        const Json::Value& failure = answer["error"];
+        is_sound = failure.isObject() && failure["code"].isInt() && failure["message"].isString();
+    }
+    if (!is_sound) {
+        throw call_failure(jsonrpc::Errors::ERROR_CLIENT_INVALID_RESPONSE,
+                           "the answer is no JSON-RPC response");
+    }
+}
+
+// The response to a request that has no id or whose id cannot be read.
+std::string refuse(int number, const std::string& message) {
+    Json::Value response;
+    response["jsonrpc"] = "2.0";
+    response["id"] = Json::Value();
+    response["error"]["code"] = number;
+    response["error"]["message"] = message;
+    return write(response);
+}
+
 // Keeps an exception of the transport, since libjsonrpccpp only lets its own type pass.
 class transport_connector : public jsonrpc::IClientConnector {
 public:
@@ -40,6 +70,7 @@
                         std::string& result) throw(jsonrpc::JsonRpcException) override {
         try {
             result = transport_(message);
+            check_answer(result);
         } catch (...) {
             failure_ = std::current_exception();
             throw jsonrpc::JsonRpcException(jsonrpc::Errors::ERROR_CLIENT_CONNECTOR, "transport");
@@ -73,7 +104,15 @@
 
     std::string handle(const std::string& request) const {
         std::string answer;
-        protocol_->HandleRequest(request, answer);
+        try {
+            parse(request);
+            protocol_->HandleRequest(request, answer);
+        } catch (const call_failure& failure) {
+            answer = refuse(failure.number(), failure.what());
+        } catch (const Json::Exception& failure) {
+            // libjsonrpccpp lets errors of jsoncpp pass: nesting, and values of another type.
+            answer = refuse(jsonrpc::Errors::ERROR_RPC_INVALID_REQUEST, failure.what());
+        }
         return answer;
     }
 
--- a/libs/rpc/src/rpc.cpp
+++ b/libs/rpc/src/rpc.cpp
@@ -1,9 +1,28 @@
 #include "tanagerpaddle/rpc.hpp"
 
+#include <charconv>
+
 #include "jsonrpc/bridge.hpp"
 
 namespace tanagerpaddle {
 
+namespace {
+
+// The code of a failed call as the other side named it; a failure is never "ok".
+result_code failure_code(int number) {
+    const result_code code = result_code_from_number(number);
+    return code == result_code::ok ? result_code::internal_error : code;
+}
+
+result_code failure_code(const std::string& number) {
+    int value = 0;
+    const auto [end, problem] =
+        std::from_chars(number.data(), number.data() + number.size(), value);
+    return problem == std::errc() ? failure_code(value) : result_code::internal_error;
+}
+
+}  // namespace
+
 class rpc_dispatcher::implementation {
 public:
     jsonrpc_bridge::server server;
@@ -63,9 +82,7 @@
             throw error(result_code::outcome_unknown, method + ": " + result.message);
         }
         if (result.response.status != 200) {
-            const std::string number = result.response.header(header_name::result);
-            throw error(number.empty() ? result_code::internal_error
-                                       : result_code_from_number(std::atoi(number.c_str())),
+            throw error(failure_code(result.response.header(header_name::result)),
                         method + ": HTTP status " + std::to_string(result.response.status));
         }
         return std::move(result.response.body);
@@ -73,7 +90,7 @@
     try {
         return jsonrpc_bridge::call(transport, method, params);
     } catch (const jsonrpc_bridge::call_failure& failure) {
-        throw error(result_code_from_number(failure.number()), method + ": " + failure.what());
+        throw error(failure_code(failure.number()), method + ": " + failure.what());
     }
 }
 
