membership: an odd row entry/<id> hides no other entry

Cause: the rows of the entries were read in one go. One that could not be read (no JSON, a port of 65536 or -1, a number past 64 bits, deep nesting, invalid UTF-8) ended the reading of the list at every entry, every 10 s, and none learnt of entries that joined. A row under another entry's key replaced what was known of that entry; port 0 or a text as address was taken as a place to call. Change: read_registrations() reads each row on its own, checks key, port and address, and names the rows that it left out; the entry logs them as entry_row_unreadable.

--- a/libs/entry/src/loops.cpp
+++ b/libs/entry/src/loops.cpp
@@ -122,13 +122,13 @@
     if (!is_leaving_.load() && (found == rows.end() || found->value != own.value)) {
         (void)table_.commit({{}, {{own.key, own.value}}, {}});
     }
-    std::vector<entry_info> registered;
-    registered.reserve(rows.size());
-    for (const auto& row : rows) {
-        registered.push_back(decode<entry_info>(row.value));
+    const registrations found_entries = read_registrations(rows);
+    for (const auto& row : found_entries.unreadable) {
+        log_event(log_level::warning, "entry_row_unreadable",
+                  {{"key", row.key}, {"message", row.cause}});
     }
     const std::lock_guard lock(control_mutex_);
-    entries_known_.set_registered(registered, time_.now());
+    entries_known_.set_registered(found_entries.entries, time_.now());
 }
 
 void entry_services::run_membership() {
--- a/libs/membership/include/tanagerpaddle/membership.hpp
+++ b/libs/membership/include/tanagerpaddle/membership.hpp
@@ -11,6 +11,7 @@
 
 #include "tanagerpaddle/core.hpp"
 #include "tanagerpaddle/protocol.hpp"
+#include "tanagerpaddle/store.hpp"
 
 namespace tanagerpaddle {
 
@@ -161,6 +162,22 @@
 // ---------------------------------------------------------------------------------------------
 // Entries
 
+// A row entry/<id> that does not describe that entry.
+struct unreadable_registration {
+    std::string key;
+    std::string cause;
+};
+
+struct registrations {
+    std::vector<entry_info> entries;
+    std::vector<unreadable_registration> unreadable;
+};
+
+// Reads the rows entry/<id>. Each row is read on its own: one that is no message, lies under the
+// key of another entry or has a control address that no process can listen at is reported as
+// unreadable and has no influence on the others.
+[[nodiscard]] registrations read_registrations(const std::vector<table_row>& rows);
+
 struct entry_directory_options {
     milliseconds digest_interval{2'000};
     // An entry is dead after this many intervals without a digest, or after this many consecutive
