membership: a row with an odd incarnation replaces no entry that is heard

Cause: a row that named another incarnation than the running one made the running one count as replaced. Its digests were ignored from then on, and its own row as well once it was written again: the entry was not live for the others until it restarted. Change: the incarnation whose digests arrive takes precedence over rows while it is live, and only an incarnation that was heard makes an earlier one replaced.

--- a/libs/membership/include/tanagerpaddle/membership.hpp
+++ b/libs/membership/include/tanagerpaddle/membership.hpp
@@ -194,7 +194,8 @@
 
     // Replaces the list of entries that have a row entry/<id>. Not called while the table is
     // unavailable, so that the last list remains. A new entry counts as heard from now. Entries
-    // without a row are kept while their digests arrive.
+    // without a row are kept while their digests arrive. A row that names another incarnation than
+    // the one whose digests arrive is ignored: a restarted entry sends digests itself.
     void set_registered(const std::vector<entry_info>& entries, instant now);
     // Records a digest or any other message from `entry`. Ignored if its incarnation was replaced.
     void record_heartbeat(const entry_info& entry, instant now, bool is_leaving = false);
@@ -218,10 +219,14 @@
         std::uint32_t failed_calls = 0;
         bool is_registered = false;
         bool is_leaving = false;
+        // The incarnation of the last accepted message; none before the first one.
+        std::optional<incarnation_number> heard_incarnation;
+        // Earlier incarnations that sent messages; those known from rows alone may never have run.
         std::vector<incarnation_number> replaced_incarnations;
     };
 
-    record* accept(const entry_info& entry, instant now);
+    void set_incarnation(record& value, const entry_info& entry, instant now);
+    void accept_row(const entry_info& entry, instant now);
     [[nodiscard]] bool is_live(const record& value, instant now) const;
 
     entry_info self_;
--- a/libs/membership/src/entry_directory.cpp
+++ b/libs/membership/src/entry_directory.cpp
@@ -10,6 +10,10 @@
 // incarnation only if it was delayed over this many restarts.
 constexpr std::size_t max_remembered_incarnations = 8;
 
+bool is_replaced(const std::vector<incarnation_number>& replaced, incarnation_number incarnation) {
+    return std::find(replaced.begin(), replaced.end(), incarnation) != replaced.end();
+}
+
 }  // namespace
 
 entry_directory::entry_directory(entry_info self, entry_directory_options options)
@@ -17,30 +21,30 @@
       options_(options),
       pauses_(options.max_call_gap, options.digest_interval) {}
 
-// Returns the record for this incarnation of the entry, or nullptr if it was replaced.
-entry_directory::record* entry_directory::accept(const entry_info& entry, instant now) {
+void entry_directory::set_incarnation(record& value, const entry_info& entry, instant now) {
+    if (value.info.incarnation != entry.incarnation) {
+        value.last_contact_at = pauses_.pause_adjusted(now);
+        value.failed_calls = 0;
+        value.is_leaving = false;
+    }
+    value.info = entry;
+}
+
+void entry_directory::accept_row(const entry_info& entry, instant now) {
     const auto [position, is_new] = entries_.try_emplace(entry.id);
     record& value = position->second;
+    value.is_registered = true;
     if (is_new) {
         value.info = entry;
         value.last_contact_at = pauses_.pause_adjusted(now);
-        return &value;
-    }
-    if (std::find(value.replaced_incarnations.begin(), value.replaced_incarnations.end(),
-                  entry.incarnation) != value.replaced_incarnations.end()) {
-        return nullptr;
+        return;
     }
-    if (value.info.incarnation != entry.incarnation) {
-        value.replaced_incarnations.push_back(value.info.incarnation);
-        if (value.replaced_incarnations.size() > max_remembered_incarnations) {
-            value.replaced_incarnations.erase(value.replaced_incarnations.begin());
-        }
-        value.last_contact_at = pauses_.pause_adjusted(now);
-        value.failed_calls = 0;
-        value.is_leaving = false;
+    const bool is_other = value.info.incarnation != entry.incarnation;
+    if (is_other && ((value.heard_incarnation == value.info.incarnation && is_live(value, now)) ||
+                     is_replaced(value.replaced_incarnations, entry.incarnation))) {
+        return;
     }
-    value.info = entry;
-    return &value;
+    set_incarnation(value, entry, now);
 }
 
 void entry_directory::set_registered(const std::vector<entry_info>& entries, instant now) {
@@ -49,14 +53,8 @@
         value.is_registered = false;
     }
     for (const auto& entry : entries) {
-        if (entry.id == self_.id) {
-            continue;
-        }
-        if (record* value = accept(entry, now)) {
-            value->is_registered = true;
-        } else {
-            // The row is of a replaced incarnation; the current one has not written its row yet.
-            entries_.at(entry.id).is_registered = true;
+        if (entry.id != self_.id) {
+            accept_row(entry, now);
         }
     }
     std::erase_if(entries_, [&](const auto& item) {
@@ -69,11 +67,21 @@
     if (entry.id == self_.id) {
         return;
     }
-    if (record* value = accept(entry, now)) {
-        value->last_contact_at = std::max(value->last_contact_at, pauses_.pause_adjusted(now));
-        value->failed_calls = 0;
-        value->is_leaving = is_leaving;
+    record& value = entries_[entry.id];
+    if (is_replaced(value.replaced_incarnations, entry.incarnation)) {
+        return;
+    }
+    if (value.heard_incarnation && *value.heard_incarnation != entry.incarnation) {
+        value.replaced_incarnations.push_back(*value.heard_incarnation);
+        if (value.replaced_incarnations.size() > max_remembered_incarnations) {
+            value.replaced_incarnations.erase(value.replaced_incarnations.begin());
+        }
     }
+    set_incarnation(value, entry, now);
+    value.heard_incarnation = entry.incarnation;
+    value.last_contact_at = std::max(value.last_contact_at, pauses_.pause_adjusted(now));
+    value.failed_calls = 0;
+    value.is_leaving = is_leaving;
 }
 
 void entry_directory::record_call_failure(const entry_id& entry, instant now) {
