dispatch_node: three more tests listen on ports that no other process holds

Cause: random_cancellations_test, cancellation_removal_test and grants_after_release_test computed their ports from the process id, from 12,000, 28,200 and 21,000. No failure of these is known to come from it. Change: they take their ports from loop_support.hpp, which reserves each until the process ends.

--- a/libs/dispatch_node/tests/cancellation_removal_test.cpp
+++ b/libs/dispatch_node/tests/cancellation_removal_test.cpp
@@ -2,14 +2,15 @@
 // cancellations, changes of the owner, and answers that are lost.
 
 #include <doctest/doctest.h>
-#include <unistd.h>
 
 #include "fake_store.hpp"
+#include "loop_support.hpp"
 #include "owner_session.hpp"
 
 using namespace tanagerpaddle;
 using namespace tanagerpaddle::dispatch;
 using namespace tanagerpaddle::dispatch::testing;
+using eventio::testing::local_endpoint;
 
 namespace {
 
@@ -20,12 +21,6 @@
 const std::string job = "0123456789abcdef";
 const std::string cancellation = job + cancel_suffix;
 
-// Below the ephemeral ports (from 32768), and apart from those of the other tests.
-eventio::endpoint local_endpoint(int offset) {
-    const auto base = 28'200 + (getpid() % 1'000) * 4;
-    return {"127.0.0.1", static_cast<std::uint16_t>(base + offset)};
-}
-
 submitted_job make_job() {
     submitted_job submitted;
     submitted.id = job_id(job);
--- a/libs/dispatch_node/tests/grants_after_release_test.cpp
+++ b/libs/dispatch_node/tests/grants_after_release_test.cpp
@@ -1,25 +1,20 @@
 // Leases that an owner grants around the release of the ownership.
 
 #include <doctest/doctest.h>
-#include <unistd.h>
 
 #include <algorithm>
 
 #include "fake_store.hpp"
+#include "loop_support.hpp"
 #include "owner_session.hpp"
 
 using namespace tanagerpaddle;
 using namespace tanagerpaddle::dispatch;
 using namespace tanagerpaddle::dispatch::testing;
+using eventio::testing::local_endpoint;
 
 namespace {
 
-// Below the ephemeral ports (from 32768), and apart from those of the other tests.
-eventio::endpoint local_endpoint(int offset) {
-    const auto base = 21'000 + (getpid() % 300) * 8;
-    return {"127.0.0.1", static_cast<std::uint16_t>(base + offset)};
-}
-
 // Records the longest lease; its clock is that of the test.
 class leased_executor final : public executor_control {
 public:
--- a/libs/dispatch_node/tests/random_cancellations_test.cpp
+++ b/libs/dispatch_node/tests/random_cancellations_test.cpp
@@ -2,16 +2,17 @@
 // writes late, the watch lags or loses its history, and the owner is replaced.
 
 #include <doctest/doctest.h>
-#include <unistd.h>
 
 #include <cstdlib>
 
 #include "fake_store.hpp"
+#include "loop_support.hpp"
 #include "owner_session.hpp"
 
 using namespace tanagerpaddle;
 using namespace tanagerpaddle::dispatch;
 using namespace tanagerpaddle::dispatch::testing;
+using eventio::testing::local_endpoint;
 
 namespace {
 
@@ -24,12 +25,6 @@
 constexpr milliseconds duration{6'000};
 constexpr int entry_count = 4;
 
-// Below the ephemeral ports (from 32768), and apart from those of the other tests.
-eventio::endpoint local_endpoint(int offset) {
-    const auto base = 12'000 + (getpid() % 1'000) * entry_count;
-    return {"127.0.0.1", static_cast<std::uint16_t>(base + offset)};
-}
-
 std::uint64_t seed_from_environment() {
     const char* text = std::getenv("TANAGERPADDLE_SEED");
     return text == nullptr ? 1 : std::strtoull(text, nullptr, 10);
