dispatch_node: an agent that leaves records the end of its executor

The executor and its agent both left while no entry owned the coordinator, so that no inventory tells the next owner of the end. Change: an agent that leaves without a live executor writes a row beside its own with the executor that has ended; it removes the row when it registers again, in the same transaction. The owner reads it with the agents' rows. Entries of earlier versions log it as unreadable and go on. Still waits: an executor that is lost with its agent at once, without SIGTERM.

--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -585,6 +585,9 @@
     // not known yet: the agent's next inventory tells of the end.
     void executor_terminated(const instance_name& instance, executor_incarnation incarnation,
                              const std::vector<run_age>& ages = {});
+    // The agent recorded the end before it left itself, so that no inventory tells of it. Has no
+    // effect on runs of newer executors.
+    void executor_end_recorded(const instance_name& instance, const executor_end& end);
     void start_reported(const instance_name& instance, const task_key& task, run_number run,
                         start_outcome outcome);
     // A stop was confirmed for a run that the executor does not have, or that has finished.
--- a/libs/dispatch/src/coordinator.cpp
+++ b/libs/dispatch/src/coordinator.cpp
@@ -233,6 +233,14 @@
     }
 }
 
+void coordinator::executor_end_recorded(const instance_name& name, const executor_end& end) {
+    if (const auto index = state_->find_instance(name)) {
+        inventory found;
+        found.ended = end;
+        state_->remove_ended_executors(*index, found);
+    }
+}
+
 void coordinator::start_reported(const instance_name& name, const task_key& key, run_number run,
                                  start_outcome outcome) {
     const auto index = state_->find_instance(name);
--- a/libs/dispatch_node/src/agent_node.cpp
+++ b/libs/dispatch_node/src/agent_node.cpp
@@ -45,6 +45,7 @@
     void register_self() {
         row_transaction transaction;
         transaction.puts.push_back({agent_table, options.name, to_string(options.messages)});
+        transaction.removals.push_back({agent_table, options.name + ended_suffix});
         store.transact(transaction, registration_timeout,
                        [self = shared_from_this()](const transaction_result& result) {
                            if (result.outcome == store_outcome::done) {
@@ -56,6 +57,23 @@
                        });
     }
 
+    // For an owner that cannot claim this agent any more.
+    void record_executor_end() {
+        const auto found = core.current_inventory();
+        if (!found.is_vacant || !found.ended) {
+            return;
+        }
+        row_transaction transaction;
+        transaction.puts.push_back({agent_table, options.name + ended_suffix,
+                                    messages::dump(messages::encode(*found.ended))});
+        store.transact(transaction, registration_timeout,
+                       [lifetime = found.ended->incarnation](const transaction_result& result) {
+                           log_event(log_level::info, "executor_end_recorded",
+                                     {{"lifetime", lifetime.value()},
+                                      {"outcome", static_cast<int>(result.outcome)}});
+                       });
+    }
+
     // --- coordinator
     eventio::link_handlers accepted(const std::shared_ptr<eventio::message_link>& from_peer) {
         std::weak_ptr weak_link = from_peer;
@@ -243,6 +261,9 @@
             has_executor_clock = false;
             if (core.executor_unreachable()) {
                 send(messages::encode(core.current_inventory()));
+                if (is_leaving) {
+                    record_executor_end();
+                }
             }
         }
         if (needs_delay) {
@@ -387,6 +408,7 @@
 
 void agent_node::leave(std::function<void()> done) {
     state_->is_leaving = true;
+    state_->record_executor_end();
     state_->loop.after(leave_delay, std::move(done));
 }
 
--- a/libs/dispatch_node/src/messages.cpp
+++ b/libs/dispatch_node/src/messages.cpp
@@ -166,8 +166,6 @@
     return ages;
 }
 
-namespace {
-
 json encode(const executor_end& end) {
     json ages = json::array();
     for (const auto& age : end.ages) {
@@ -178,13 +176,11 @@
             {"ages", std::move(ages)}};
 }
 
-executor_end decode_end(const json& in) {
+executor_end decode_executor_end(const json& in) {
     return {executor_incarnation(in.at("life").get<std::int64_t>()), in.at("draining").get<bool>(),
             decode_run_ages(in)};
 }
 
-}  // namespace
-
 json encode(const inventory& found) {
     json out{{"t", "inventory"}, {"running", json::array()}, {"finished", json::array()}};
     if (found.executor) {
@@ -212,7 +208,7 @@
     }
     // Agents of earlier versions send neither.
     if (in.contains("ended")) {
-        found.ended = decode_end(in.at("ended"));
+        found.ended = decode_executor_end(in.at("ended"));
     }
     found.is_vacant = in.value("vacant", false);
     for (const auto& run : in.at("running")) {
--- a/libs/dispatch_node/src/messages.hpp
+++ b/libs/dispatch_node/src/messages.hpp
@@ -24,6 +24,7 @@
 [[nodiscard]] run_age decode_run_age(const json& in);
 // The ages in a message; empty if it is from an agent of an earlier version, which sends none.
 [[nodiscard]] std::vector<run_age> decode_run_ages(const json& message);
+[[nodiscard]] json encode(const executor_end& end);
 [[nodiscard]] json encode(const inventory& found);
 [[nodiscard]] json encode(const interference_model::pressure_table& pressures);
 
@@ -49,6 +50,7 @@
 [[nodiscard]] start_outcome decode_start_outcome(const json& in);
 [[nodiscard]] job_phase decode_phase(const json& in);
 [[nodiscard]] finished_task decode_finished(const json& in);
+[[nodiscard]] executor_end decode_executor_end(const json& in);
 [[nodiscard]] inventory decode_inventory(const json& in);
 [[nodiscard]] interference_model::pressure_table decode_pressures(const json& in);
 
--- a/libs/dispatch_node/src/owner_session.cpp
+++ b/libs/dispatch_node/src/owner_session.cpp
@@ -28,14 +28,20 @@
 constexpr milliseconds max_job_list_age{2'000};
 constexpr milliseconds removal_timeout{2'000};
 
+// The part of a key before the suffix; nullopt if it does not end so, or if nothing comes before.
+std::optional<std::string> name_before(std::string_view key, std::string_view suffix) {
+    if (key.size() <= suffix.size() || !key.ends_with(suffix)) {
+        return std::nullopt;
+    }
+    return std::string(key.substr(0, key.size() - suffix.size()));
+}
+
 bool is_cancel_key(const std::string& key) {
-    const std::string_view suffix = cancel_suffix;
-    return key.size() > suffix.size() &&
-           std::string_view(key).substr(key.size() - suffix.size()) == suffix;
+    return name_before(key, cancel_suffix).has_value();
 }
 
 job_id job_of_cancel_key(const std::string& key) {
-    return job_id(key.substr(0, key.size() - std::string_view(cancel_suffix).size()));
+    return job_id(name_before(key, cancel_suffix).value());
 }
 
 std::vector<std::string> all_job_parts() {
@@ -218,20 +224,21 @@
                 return;
             }
             for (const auto& row : rows) {
-                const instance_name name(row.address.key);
+                const auto recorded = name_before(row.address.key, ended_suffix);
+                if (recorded && row.version == row_version(0)) {
+                    continue;  // the agent has registered again
+                }
+                const instance_name name(recorded.value_or(row.address.key));
                 try {
                     validate(name);
-                    const auto address = eventio::parse_endpoint(row.value);
-                    auto [position, is_new] = self->agents_.try_emplace(name);
-                    if (is_new) {
-                        position->second.runs_end_by = self->unclaimed_runs_end_by_;
-                    } else if (position->second.address != address) {
-                        self->disconnect(name, "agent address changed");
+                    if (recorded) {
+                        self->add_recorded_end(name, row.value);
+                    } else {
+                        self->add_agent(name, row.value);
                     }
-                    position->second.address = address;
-                    position->second.retry_at = {};
-                    self->connect(name);
-                } catch (const error& failure) {
+                } catch (const invariant_violation&) {
+                    throw;
+                } catch (const std::exception& failure) {
                     log_event(log_level::error, "agent_row_unreadable",
                               {{"agent", name.value()}, {"message", failure.what()}});
                 }
@@ -239,6 +246,27 @@
         });
 }
 
+void owner_session::add_agent(const instance_name& name, const std::string& address_text) {
+    const auto address = eventio::parse_endpoint(address_text);
+    auto [position, is_new] = agents_.try_emplace(name);
+    if (is_new) {
+        position->second.runs_end_by = unclaimed_runs_end_by_;
+    } else if (position->second.address != address) {
+        disconnect(name, "agent address changed");
+    }
+    position->second.address = address;
+    position->second.retry_at = {};
+    connect(name);
+}
+
+void owner_session::add_recorded_end(const instance_name& name, const std::string& value) {
+    const auto end = messages::decode_executor_end(json::parse(value));
+    log_event(log_level::info, "executor_end_read",
+              {{"agent", name.value()}, {"lifetime", end.incarnation.value()}});
+    coordinator_.executor_end_recorded(name, end);
+    schedule_plan();
+}
+
 bool owner_session::is_job_list_current() const {
     return is_loaded_ && job_watcher_ &&
            env_.time->now() - job_watcher_->confirmed_at() <= max_job_list_age;
--- a/libs/dispatch_node/src/owner_session.hpp
+++ b/libs/dispatch_node/src/owner_session.hpp
@@ -16,6 +16,9 @@
 
 inline constexpr const char* job_table = "jobs";
 inline constexpr const char* agent_table = "agents";
+// The row with the key of an agent and this suffix records the end of the agent's executor: written
+// by an agent that leaves, removed when an agent registers.
+inline constexpr const char* ended_suffix = "/ended";
 // Number of parts of the job table: the store applies the transactions of one part sequentially.
 inline constexpr std::uint32_t job_part_count = 8;
 // The row with the key of a job and this suffix cancels the job.
@@ -88,6 +91,8 @@
     [[nodiscard]] std::string_view phase_name(const job_id& job) const;
     void finish_loading();
     void watch_agents();
+    void add_agent(const instance_name& name, const std::string& address);
+    void add_recorded_end(const instance_name& name, const std::string& value);
     void connect(const instance_name& instance);
     eventio::link_handlers connected(const instance_name& instance,
                                      const std::shared_ptr<eventio::message_link>& link);
--- a/libs/dispatch_node/tests/executor_end_report_test.cpp
+++ b/libs/dispatch_node/tests/executor_end_report_test.cpp
@@ -140,6 +140,12 @@
         f.agents.erase("m1");
         f.start_agent("m1", f.first_executor, 4);
     }
+    SUBCASE("and the agent leaves") {
+        run_for(f.loop, milliseconds(500));
+        f.agents.at("m1")->leave([] {});
+        run_for(f.loop, milliseconds(500));
+        f.agents.erase("m1");
+    }
     f.start_entry("second", 3);
     REQUIRE(f.run_until(milliseconds(8'000), [&] { return f.entry->is_owner(); }));
     REQUIRE(f.run_until(max_idle_time, [&] { return f.second_executor.running.size() == 1; }));
