--- a/libs/dispatch/tests/world.cpp
+++ b/libs/dispatch/tests/world.cpp
@@ -85,6 +85,10 @@
 struct sim_executor {
     executor_info info;
     bool is_up = true;
+    // Reports itself although its port is not open yet.
+    bool reports_early = false;
+    // No executor takes its place.
+    bool is_removed = false;
     std::map<run_key, sim_run> running;
     std::map<std::uint64_t, finished_task> finished;
     std::map<task_key, run_number> highest_run;
@@ -112,8 +116,12 @@
     std::unique_ptr<agent> core;
     bool is_linked = false;
     bool is_cut = false;
+    // The agent has ended for good.
+    bool is_removed = false;
     std::uint64_t link_generation = 0;
     epoch_number claim;
+    // When the current coordinator first claimed the agent.
+    std::optional<instant> claimed_at;
     instant last_grant;
     bool hangs = false;
     // When the last fault of this instance, its agent or its links ended.
@@ -192,7 +200,7 @@
         });
     }
     void link(sim_instance& instance) {
-        if (instance.is_cut) {
+        if (instance.is_cut || instance.is_removed) {
             return;
         }
         ++instance.link_generation;
@@ -201,6 +209,7 @@
             return;
         }
         instance.is_linked = true;
+        instance.claimed_at = instance.claimed_at.value_or(time.now());
         instance.last_grant = time.now();
         const auto found = instance.core->current_inventory();
         to_coordinator(instance, [name = instance.name, found](coordinator& target) {
@@ -259,6 +268,9 @@
     void shrink_for_a_while(std::size_t index);
     [[nodiscard]] resources counted_capacity(std::size_t index) const;
     void restart_executor(std::size_t index);
+    void begin_executor(std::size_t index);
+    void end_executor(std::size_t index);
+    void restart_agent(sim_instance& instance);
     [[nodiscard]] milliseconds draw(const time_to_crash& when);
     void record_acknowledged(sim_executor& executor, std::uint64_t number);
 
@@ -290,6 +302,7 @@
     std::map<task_key, std::set<std::string>> checkpoints;
     // When the last takeover or outage of the store ended.
     instant calm_since;
+    instant taken_over_at;
     std::size_t start_count = 0;
     std::map<task_key, time_to_crash> crashing;
     std::map<task_key, std::uint32_t> crash_counts;
@@ -537,7 +550,7 @@
                       : when.age + milliseconds(static_cast<std::int64_t>(random.below(bound)));
 }
 
-void world::state::restart_executor(std::size_t index) {
+void world::state::end_executor(std::size_t index) {
     auto& executor = instances[index]->executor;
     executor.is_up = false;
     for (const auto& [key, run] : executor.running) {
@@ -545,16 +558,42 @@
         crash_counts[key.first] += crashing.count(key.first) != 0 ? 1U : 0U;
     }
     executor.running.clear();
-    at(milliseconds(200 + static_cast<std::int64_t>(random.below(2'000))), [this, index] {
-        auto& target = instances[index]->executor;
-        const auto incarnation = target.info.incarnation.next();
-        const auto info = target.info;
-        target = {};
-        target.info = info;
-        target.info.is_draining = false;
-        target.info.incarnation = incarnation;
-        target.lease_until = time.now();
-    });
+}
+
+void world::state::begin_executor(std::size_t index) {
+    auto& target = instances[index]->executor;
+    if (target.is_removed) {
+        return;
+    }
+    const auto incarnation = target.info.incarnation.next();
+    const auto info = target.info;
+    target = {};
+    target.info = info;
+    target.info.is_draining = false;
+    target.info.incarnation = incarnation;
+    target.lease_until = time.now();
+    // Draws only with this fault, so that the seeds of other tests keep their meaning.
+    if (faults.early_report > 0 && random.chance(faults.early_report)) {
+        target.is_up = false;
+        target.reports_early = true;
+        at(milliseconds(100), [this, index] {
+            auto& executor = instances[index]->executor;
+            executor.is_up = !executor.is_removed;
+            executor.reports_early = false;
+        });
+    }
+}
+
+void world::state::restart_executor(std::size_t index) {
+    end_executor(index);
+    at(milliseconds(200 + static_cast<std::int64_t>(random.below(2'000))),
+       [this, index] { begin_executor(index); });
+}
+
+void world::state::restart_agent(sim_instance& instance) {
+    unlink(instance);
+    instance.core = std::make_unique<agent>(time, instance);
+    instance.calm_since = time.now();
 }
 
 // ---------------------------------------------------------------------------------------------
@@ -716,7 +755,13 @@
                                    coordinator& target) { target.instance_claimed(n, found); });
             }
         }
-    } else if (instance.core->executor_unreachable()) {
+        at(hold_interval, [this, index] { loop_instance(index); });
+        return;
+    }
+    if (executor.reports_early) {
+        static_cast<void>(instance.core->executor_reported(executor.info));
+    }
+    if (instance.core->executor_unreachable()) {
         to_coordinator(instance, [n = instance.name, found = instance.core->current_inventory()](
                                      coordinator& target) { target.instance_claimed(n, found); });
     }
@@ -729,11 +774,13 @@
 void world::state::new_coordinator() {
     for (auto& instance : instances) {
         instance->is_linked = false;
+        instance->claimed_at.reset();
         ++instance->link_generation;
     }
     epoch = epoch.next();
     ++generation;
     calm_since = time.now();
+    taken_over_at = time.now();
     is_writing = false;
     coordinator::options settings;
     settings.tasks_per_row = options.tasks_per_row;
@@ -749,7 +796,7 @@
     }
     for (const auto& [key, row] : progress) {
         const auto& [id, number] = key;
-        if (!jobs->restore(id, row, time.now() + timing.expiry_delay(), number)) {
+        if (!jobs->restore(id, row, time.now() + options.unclaimed_runs_end_after, number)) {
             violation("a progress row cannot be read: " + row);
         }
     }
@@ -809,9 +856,7 @@
                });
         }
         if (random.chance(faults.agent_restart * per_second)) {
-            unlink(instance);
-            instance.core = std::make_unique<agent>(time, instance);
-            instance.calm_since = time.now();
+            restart_agent(instance);
         }
         if (faults.capacity_change > 0 && random.chance(faults.capacity_change * per_second)) {
             shrink_for_a_while(i);
@@ -886,6 +931,22 @@
     state_->restart_executor(instance);
 }
 
+void world::remove_executor(std::size_t instance) {
+    state_->end_executor(instance);
+    state_->instances.at(instance)->executor.is_removed = true;
+}
+
+void world::remove_instance(std::size_t instance) {
+    remove_executor(instance);
+    auto& target = *state_->instances.at(instance);
+    target.is_removed = true;
+    state_->unlink(target);
+}
+
+void world::restart_agent(std::size_t instance) {
+    state_->restart_agent(*state_->instances.at(instance));
+}
+
 void world::make_crashing(const task_key& task, milliseconds age, milliseconds jitter) {
     state_->crashing.insert_or_assign(task, time_to_crash{age, jitter});
 }
@@ -948,6 +1009,25 @@
     return state_->instances.at(instance)->executor.running.size();
 }
 
+std::optional<std::size_t> world::instance_of(const task_key& task) const {
+    for (const auto& instance : state_->instances) {
+        for (const auto& [key, run] : instance->executor.running) {
+            if (key.first == task) {
+                return instance->index;
+            }
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<instant> world::claimed_at(std::size_t instance) const {
+    return state_->instances.at(instance)->claimed_at;
+}
+
+instant world::taken_over_at() const {
+    return state_->taken_over_at;
+}
+
 std::size_t world::starts() const {
     return state_->start_count;
 }
--- a/libs/dispatch/tests/world.hpp
+++ b/libs/dispatch/tests/world.hpp
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -18,6 +19,9 @@
     resources capacity{millicores(8'000), mebibytes(16'000), accelerator_count(0)};
     std::uint32_t tasks_per_row = max_tasks_per_row;
     std::size_t max_rows_per_write = coordinator::options{}.max_rows_per_write;
+    // Time after a takeover at which the runs of instances that the new coordinator has not claimed
+    // count as ended; no owner is simulated that grants leases after its takeover.
+    milliseconds unclaimed_runs_end_after = lease_timing{}.expiry_delay();
 };
 
 // Random faults; probabilities per second unless stated otherwise.
@@ -41,6 +45,8 @@
     double slow_write = 0;
     // Messages from the coordinator to an agent take seconds; those to the coordinator do not.
     double slow_link = 0;
+    // Share of executors that report themselves for a while before their port is open.
+    double early_report = 0;
 };
 
 class world {
@@ -58,6 +64,11 @@
     // Replaces the coordinator by a new one that has only the table and the agents' reports.
     void take_over();
     void crash_executor(std::size_t instance);
+    // The executor ends, and none takes its place.
+    void remove_executor(std::size_t instance);
+    // The executor and its agent end, and none takes their place.
+    void remove_instance(std::size_t instance);
+    void restart_agent(std::size_t instance);
     // The task crashes each executor that starts it, `age` after the start plus a random time below
     // `jitter`. Three more starts after three such crashes are a violation.
     void make_crashing(const task_key& task, milliseconds age = milliseconds(10),
@@ -76,6 +87,11 @@
     [[nodiscard]] std::size_t open_jobs() const;
     // Number of runs on the instance now.
     [[nodiscard]] std::size_t running_on(std::size_t instance) const;
+    // The instance on which the task runs now.
+    [[nodiscard]] std::optional<std::size_t> instance_of(const task_key& task) const;
+    // When the current coordinator first claimed the instance's agent; unset if it has not.
+    [[nodiscard]] std::optional<instant> claimed_at(std::size_t instance) const;
+    [[nodiscard]] instant taken_over_at() const;
     [[nodiscard]] std::size_t starts() const;
     // Number of executors that the task has crashed.
     [[nodiscard]] std::uint32_t crashes_by(const task_key& task) const;
