dispatch: a restarted agent does not take the runs that it finds for new

Change: runs that the first lists of an agent name were started by an earlier process of it. Their ages are left out until they are above the suspicion window. Result: restarted_agent_ages_test fails before, passes now.

--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -183,7 +183,8 @@
     task_key task;
     run_number run;
     // Time from the answer to the start, or from the first list with the run, to the executor's
-    // last answer to any call; 0 for a start that was not answered.
+    // last answer to any call; 0 for a start that was not answered. Not reported for a run of an
+    // earlier process of the agent that may have begun shortly before.
     milliseconds age{0};
 };
 
@@ -781,6 +782,8 @@
     // When the executor answered the start of each run, or first listed it, and when it last
     // answered any call.
     std::map<run_key, instant> begun_at_;
+    // Runs that an earlier process of this agent has started: they may be older than they seem.
+    std::set<run_key> found_runs_;
     instant answered_at_;
     std::map<std::uint64_t, finished_task> finished_;
     std::map<task_key, task_traits> traits_;
--- a/libs/dispatch/src/agent.cpp
+++ b/libs/dispatch/src/agent.cpp
@@ -153,6 +153,7 @@
     traits_.clear();
     sent_pace_.clear();
     begun_at_.clear();
+    found_runs_.clear();
     pacer_ = {};
     sample_ = {};
     acknowledged_completion_ = completion_number(0);
@@ -202,6 +203,9 @@
         const run_key key(run.task, run.run);
         running_.emplace(key, run);
         begun_at_.try_emplace(key, answered_at_);
+        if (view_count_ == 1) {
+            found_runs_.insert(key);
+        }
     }
     std::vector<finished_task> new_completions;
     for (const auto& completion : view.finished) {
@@ -312,8 +316,11 @@
         }
     }
     for (const auto& [key, begun_at] : begun_at_) {
-        ages.push_back({key.first, key.second,
-                        std::chrono::duration_cast<milliseconds>(answered_at_ - begun_at)});
+        const auto age = std::chrono::duration_cast<milliseconds>(answered_at_ - begun_at);
+        const bool is_known = found_runs_.count(key) == 0 || age >= crash_rules{}.suspicion_window;
+        if (is_known) {
+            ages.push_back({key.first, key.second, age});
+        }
     }
     return ages;
 }
