dispatch: a random test of tasks that last while executors end for good

A task that lasts runs again 1 s after its owner has a link to the agent, one lease and 1 s after the owner's claim without a link, and 7 s later without a claim; never twice at once; no run is ordered to stop.

--- a/libs/dispatch/tests/world.cpp
+++ b/libs/dispatch/tests/world.cpp
@@ -122,6 +122,7 @@
     epoch_number claim;
     // When the current coordinator first claimed the agent.
     std::optional<instant> claimed_at;
+    instant linked_since;
     instant last_grant;
     bool hangs = false;
     // When the last fault of this instance, its agent or its links ended.
@@ -210,6 +211,7 @@
         }
         instance.is_linked = true;
         instance.claimed_at = instance.claimed_at.value_or(time.now());
+        instance.linked_since = time.now();
         instance.last_grant = time.now();
         const auto found = instance.core->current_inventory();
         to_coordinator(instance, [name = instance.name, found](coordinator& target) {
@@ -304,6 +306,7 @@
     instant calm_since;
     instant taken_over_at;
     std::size_t start_count = 0;
+    std::size_t stop_count = 0;
     std::map<task_key, time_to_crash> crashing;
     std::map<task_key, std::uint32_t> crash_counts;
     // The same for all tasks, whatever crashed the executor.
@@ -669,6 +672,7 @@
             highest_run = std::max(highest_run, run);
             const auto found = executor.running.find({task, run});
             if (found != executor.running.end()) {
+                ++owner->stop_count;
                 found->second.how = run_outcome::stopped;
                 found->second.ends_at = owner->time.now() + stop_time;
             }
@@ -711,6 +715,10 @@
     instance.core->tick();
     if (!instance.is_linked) {
         link(instance);
+        if (instance.is_linked && options.delays_first_view) {
+            at(hold_interval, [this, index] { loop_instance(index); });
+            return;
+        }
     }
     if (instance.is_linked && jobs->has_executor(instance.name) &&
         time.now() >= instance.held_until) {
@@ -1024,6 +1032,11 @@
     return state_->instances.at(instance)->claimed_at;
 }
 
+std::optional<instant> world::linked_since(std::size_t instance) const {
+    const auto& found = *state_->instances.at(instance);
+    return found.is_linked ? std::optional(found.linked_since) : std::nullopt;
+}
+
 instant world::taken_over_at() const {
     return state_->taken_over_at;
 }
@@ -1031,6 +1044,9 @@
 std::size_t world::starts() const {
     return state_->start_count;
 }
+std::size_t world::stops() const {
+    return state_->stop_count;
+}
 const std::vector<std::string>& world::violations() const {
     return state_->violations;
 }
--- a/libs/dispatch/tests/world.hpp
+++ b/libs/dispatch/tests/world.hpp
@@ -22,6 +22,8 @@
     // Time after a takeover at which the runs of instances that the new coordinator has not claimed
     // count as ended; no owner is simulated that grants leases after its takeover.
     milliseconds unclaimed_runs_end_after = lease_timing{}.expiry_delay();
+    // An agent reads the lists of its executor only some time after it was claimed.
+    bool delays_first_view = false;
 };
 
 // Random faults; probabilities per second unless stated otherwise.
@@ -91,8 +93,12 @@
     [[nodiscard]] std::optional<std::size_t> instance_of(const task_key& task) const;
     // When the current coordinator first claimed the instance's agent; unset if it has not.
     [[nodiscard]] std::optional<instant> claimed_at(std::size_t instance) const;
+    // Since when the current coordinator has had its link to the agent; unset if it has none.
+    [[nodiscard]] std::optional<instant> linked_since(std::size_t instance) const;
     [[nodiscard]] instant taken_over_at() const;
     [[nodiscard]] std::size_t starts() const;
+    // Number of runs that were alive when they were ordered to stop.
+    [[nodiscard]] std::size_t stops() const;
     // Number of executors that the task has crashed.
     [[nodiscard]] std::uint32_t crashes_by(const task_key& task) const;
     // Number of executors that crashed, for whatever cause, while they had the task.
