--- a/libs/eventio/tests/loop_support.hpp
+++ b/libs/eventio/tests/loop_support.hpp
@@ -8,7 +8,9 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <functional>
 #include <map>
+#include <memory>
 
 #include "tanagerpaddle/eventio.hpp"
 
@@ -59,4 +61,22 @@
     }
 }
 
+// The same until `is_done`, which is asked whenever the loop has been stopped; returns its last
+// answer.
+inline bool run_until(event_loop& loop, milliseconds limit, const std::function<bool()>& is_done) {
+    const milliseconds step = std::max(limit / 20, milliseconds(1));
+    for (milliseconds left = limit; left.count() > 0 && !is_done(); left -= step) {
+        // The timer of a step that is_done has ended must not stop a later run.
+        const auto is_current = std::make_shared<bool>(true);
+        loop.after(std::min(step, left), [&loop, is_current] {
+            if (*is_current) {
+                loop.stop();
+            }
+        });
+        loop.run();
+        *is_current = false;
+    }
+    return is_done();
+}
+
 }  // namespace tanagerpaddle::eventio::testing
