scheduling: an odd or missing partition row stops no other partition

Cause: one row partition/<n> that could not be read ended the reading of all of them, every tick: an entry took over no partition, followed none and planned nothing. A row that was deleted was looked up after its end and ended the process. Change: each row is read on its own. One that cannot be read names no owner: its owner gives the partition up and the entry that should own it takes it over, after the longest horizon. Its epoch follows from the row's version, which is higher than each earlier epoch, since each change of owner writes the row. Of a deleted row the last known epoch and horizon still count. Each version of an unreadable row is recorded once as a decision unreadable_row.

--- a/libs/scheduling/src/commits.cpp
+++ b/libs/scheduling/src/commits.cpp
@@ -272,7 +272,7 @@
     std::vector<table_row> found;
     try {
         const auto row = rows.read(partition_key(p.number));
-        const partition_row owner = row ? decode<partition_row>(row->value) : partition_row{};
+        const partition_row owner = row ? stored_owner(p.number, *row) : partition_row{};
         if (owner.owner != self.id || owner.incarnation != self.incarnation ||
             owner.epoch != p.epoch) {
             if (options.mechanisms.condition_on_epoch) {
--- a/libs/scheduling/src/ownership.cpp
+++ b/libs/scheduling/src/ownership.cpp
@@ -124,25 +124,47 @@
     for (std::uint32_t i = 0; i < options.partition_count; ++i) {
         const partition_number number(i);
         const auto row = by_key.find(partition_key(number));
-        observed_partition& seen = observed[number];
-        const row_version read = row == by_key.end() ? row_version() : row->second->version;
-        if (read != seen.version) {
-            if (seen.version != row_version()) {
-                seen.changed_at = observed_at;
-            }
-            seen.row = decode<partition_row>(row->second->value);
-            seen.version = read;
-            seen.first_seen_at = observed_at;
+        observe_partition(number, row == by_key.end() ? nullptr : row->second);
+    }
+}
+
+void scheduler_state::observe_partition(partition_number number, const table_row* stored) {
+    observed_partition& seen = observed[number];
+    const row_version read = stored ? stored->version : row_version();
+    if (read != seen.version) {
+        if (seen.version != row_version()) {
+            seen.changed_at = observed_at;
         }
-        const partition_state* p = owned(number);
-        const bool is_ours = seen.row.owner == self.id &&
-                             seen.row.incarnation == self.incarnation && p &&
-                             seen.row.epoch == p->epoch;
-        if (p && !is_ours && options.mechanisms.condition_on_epoch &&
-            options.mechanisms.require_committed_takeover) {
-            drop_partition(number, "another entry took over the partition");
+        seen.version = read;
+        seen.first_seen_at = observed_at;
+        try {
+            // A row that is gone names no owner; the last known epoch and horizon still count.
+            seen.row = stored ? read_partition_row(*stored)
+                              : partition_row{{}, {}, seen.row.epoch, seen.row.horizon_ms, false};
+        } catch (const error& failure) {
+            record_unreadable(number, *stored, failure);
+            seen.row = replacement_of(seen.row, read);
         }
     }
+    const partition_state* p = owned(number);
+    const bool is_ours = seen.row.owner == self.id && seen.row.incarnation == self.incarnation &&
+                         p && seen.row.epoch == p->epoch;
+    if (p && !is_ours && options.mechanisms.condition_on_epoch &&
+        options.mechanisms.require_committed_takeover) {
+        drop_partition(number, "another entry took over the partition");
+    }
+}
+
+// What stands for a row that cannot be read: no owner, and an epoch that is at least the one that
+// the row had before. Each change of owner writes the row once, so that its version is higher than
+// any epoch of the rows before it.
+partition_row scheduler_state::replacement_of(const partition_row& last, row_version read) const {
+    const epoch_number by_version(read.value() - 1);
+    return {{},
+            {},
+            std::max(last.epoch, by_version),
+            std::max(last.horizon_ms, options.horizon.count()),
+            false};
 }
 
 bool scheduler_state::should_take_over(const observed_partition& seen) const {
@@ -175,7 +197,7 @@
     transaction.puts.push_back({partition_key(number), encode(row)});
     const instant sent_at = now();
     instant reclaim_from = sent_at;
-    if (seen.version != row_version()) {
+    if (seen.version != row_version() || seen.row.horizon_ms > 0) {
         reclaim_from += with_margin(milliseconds(seen.row.horizon_ms));
     }
     // This entry granted no lease after its own takeover with unknown outcome, so the previous
--- a/libs/scheduling/src/scheduler_state.hpp
+++ b/libs/scheduling/src/scheduler_state.hpp
@@ -168,10 +168,21 @@
     void record_decision(decision_kind kind, partition_number partition, const task_attempt& task,
                          const worker_id& worker, std::string cause);
 
+    // --- stored_rows.cpp
+    // The row of a partition; one without an owner if it cannot be read, which is recorded.
+    [[nodiscard]] partition_row stored_owner(partition_number number, const table_row& stored);
+    // Nothing if the row cannot be read, which is recorded.
+    [[nodiscard]] std::optional<job_row> read_job_row(const table_row& stored);
+    // Records a decision for each version of a row that cannot be read.
+    void record_unreadable(partition_number partition, const table_row& stored,
+                           const error& failure);
+
     // --- ownership.cpp
     void update_ownership();
     void renew_horizons();
     void observe_partitions();
+    void observe_partition(partition_number number, const table_row* stored);
+    [[nodiscard]] partition_row replacement_of(const partition_row& last, row_version read) const;
     [[nodiscard]] bool should_take_over(const observed_partition& seen) const;
     void take_over(partition_number number);
     void become_owner(partition_number number, const partition_row& row, row_version version,
@@ -339,6 +350,8 @@
     // While the table fails, each tick makes at most one call, so that it does not wait for many.
     instant store_retry_at = instant::min();
 
+    // The last version of each row that was recorded as unreadable.
+    std::map<std::string, row_version> unreadable_rows;
     std::map<failure_domain_id, cached_domain> domains;
     double drain_tokens = 1;
     instant drain_refilled_at;
@@ -354,6 +367,20 @@
     std::deque<decision> decisions;
 };
 
+// Unreadable rows that are recorded once only; beyond it they are recorded again.
+inline constexpr std::size_t max_remembered_unreadable_rows = 10'000;
+
+// Both throw error(malformed_request) if the row cannot be read, contradicts its key or holds
+// amounts or times beyond the limits of configurations.
+[[nodiscard]] partition_row read_partition_row(const table_row& stored);
+[[nodiscard]] group_row read_group_row(partition_number partition, const table_row& stored);
+// True if demand and run time are within the limits of configurations.
+[[nodiscard]] bool has_sound_size(const job_declaration& job);
+// The nearest value from 0 to 1.
+[[nodiscard]] double sound_progress(double reported);
+// The nearest value from 0 to the longest run time of a configuration.
+[[nodiscard]] milliseconds sound_run_time(std::int64_t reported_ms);
+
 // True for claimed, running and evicting: the attempt uses resources of its worker.
 [[nodiscard]] constexpr bool is_active(task_state state) noexcept {
     return state == task_state::claimed || state == task_state::running ||
