scheduling: a group row that contradicts its key stops no job

Cause: a group row with the id of another job, another group number or indices that do not belong to it was planned and then looked up by the key that follows from its content. The invariant "the plan places a task that is not pending" failed in each tick, and the partition started nothing any more. Amounts, run times and progress had no bounds, so that sums and conversions could overflow. Change: a row that contradicts its key or exceeds the limits of configurations is unreadable, as one that is no JSON. Submissions keep the same limits. Progress and run times that agents report are brought into their range, so that no row becomes unreadable by them. Result: scheduling_test -tc='a group row that does not*' before: 30 assertions, 3 failed CHECK_NOTHROW( w.run(seconds(40)) ) THREW exception: "the plan places a task that is not ..." After: passes. No overflow was shown by a run: no build with sanitizers was made for it.

--- a/libs/scheduling/src/commits.cpp
+++ b/libs/scheduling/src/commits.cpp
@@ -219,7 +219,7 @@
             group.row = std::move(before->second.row);
         } else {
             try {
-                group.row = decode<group_row>(row.value);
+                group.row = read_group_row(p.number, row);
             } catch (const error& failure) {
                 // The row stays in the table; the other groups are scheduled.
                 unreadable[row.key] = row.version;
--- a/libs/scheduling/src/records.cpp
+++ b/libs/scheduling/src/records.cpp
@@ -95,7 +95,7 @@
             record.state = task_state::finished;
             record.progress = 1;
             ++counts.finished_tasks;
-            estimator->observe(group.declaration, milliseconds(report.run_ms));
+            estimator->observe(group.declaration, sound_run_time(report.run_ms));
             if (worker) {
                 worker->consecutive_failures = 0;
             }
@@ -114,7 +114,7 @@
     const task_report& report = received.report;
     ++record.eviction_count;
     ++counts.evictions;
-    record.progress = report.progress;
+    record.progress = sound_progress(report.progress);
     if (!report.checkpoint.empty()) {
         record.checkpoint = report.checkpoint;
     }
--- a/libs/scheduling/src/submission.cpp
+++ b/libs/scheduling/src/submission.cpp
@@ -17,8 +17,7 @@
 
 bool is_well_formed(const job_declaration& job) {
     return !job.id.empty() && job.id.value().find('/') == std::string::npos && job.task_count > 0 &&
-           job.task_count <= max_tasks_per_job && job.demand.is_non_negative() &&
-           job.run_time.count() >= 0;
+           job.task_count <= max_tasks_per_job && has_sound_size(job);
 }
 
 resources larger_of(const resources& a, const resources& b) {
--- a/libs/scheduling/src/sync.cpp
+++ b/libs/scheduling/src/sync.cpp
@@ -114,8 +114,8 @@
             transient.checkpoint.clear();  // The attempt may have started without it.
         }
         transient.attempt = task.attempt.attempt;
-        transient.progress = task.progress;
-        transient.run_time = milliseconds(task.run_ms);
+        transient.progress = sound_progress(task.progress);
+        transient.run_time = sound_run_time(task.run_ms);
         if (!task.checkpoint.empty()) {
             transient.checkpoint = task.checkpoint;
         }
