scheduling: an odd job row hides and stops no other job

Cause: one row job/<id> that could not be read made the list of jobs fail for the operators, and the error passed through the recording of ended groups and through moves: the tick of the partition ended there each time. Change: such a row is left out of the list, whose page is filled up from the next rows; its groups end as those of a job without a row.

--- a/libs/scheduling/src/commits.cpp
+++ b/libs/scheduling/src/commits.cpp
@@ -137,8 +137,11 @@
             if (!stored) {
                 continue;
             }
-            found = jobs.emplace(key, changed_job{decode<job_row>(stored->value), stored->version})
-                        .first;
+            auto row = read_job_row(*stored);
+            if (!row) {
+                continue;  // As for a job without a row: nothing counts its groups.
+            }
+            found = jobs.emplace(key, changed_job{*std::move(row), stored->version}).first;
         }
         job_row& job = found->second.row;
         ++job.ended_groups;
--- a/libs/scheduling/src/entry_scheduler.cpp
+++ b/libs/scheduling/src/entry_scheduler.cpp
@@ -205,9 +205,20 @@
 
 std::vector<job_row> entry_scheduler::list_jobs(const job_id& after, std::size_t limit) {
     std::vector<job_row> jobs;
-    const std::string start = after.empty() ? std::string() : job_key(after);
-    for (const auto& row : state_->rows.scan("job/", start, limit)) {
-        jobs.push_back(decode<job_row>(row.value));
+    std::string start = after.empty() ? std::string() : job_key(after);
+    // A shorter page is the last one, so rows that are left out are made up for.
+    while (jobs.size() < limit) {
+        const std::size_t wanted = limit - jobs.size();
+        const auto page = state_->rows.scan("job/", start, wanted);
+        for (const auto& row : page) {
+            start = row.key;
+            if (auto job = state_->read_job_row(row)) {
+                jobs.push_back(*std::move(job));
+            }
+        }
+        if (page.size() < wanted) {
+            break;
+        }
     }
     return jobs;
 }
--- a/libs/scheduling/src/moves.cpp
+++ b/libs/scheduling/src/moves.cpp
@@ -80,10 +80,11 @@
     if (!stored) {
         return true;
     }
-    job_row row = decode<job_row>(stored->value);
-    if (group.row.group >= row.group_partitions.size()) {
+    auto readable = read_job_row(*stored);
+    if (!readable || group.row.group >= readable->group_partitions.size()) {
         return true;
     }
+    job_row row = *std::move(readable);
     row.group_partitions[group.row.group] = target;
     const std::string target_key = group_key(target, id, group.row.group);
     table_transaction transaction;
