scheduling: an odd row of a failure domain stops no other domain

Cause: reading the rows domain/<name> ended at the first one that could not be read. The domains after it were never known, and no worker there got work. Change: such a domain takes no claims, since it may be drained; the others are read. Its row is read again in each tick, once for the domain, until it is sound. Result: scheduling_test -tc='an odd drain row*' before: FATAL ERROR: test case CRASHED: SIGSEGV. After: passes.

--- a/libs/scheduling/src/entry_scheduler.cpp
+++ b/libs/scheduling/src/entry_scheduler.cpp
@@ -166,18 +166,26 @@
 }
 
 void scheduler_state::read_domains() {
+    std::set<failure_domain_id> unreadable;
     for (const auto& [number, p] : partitions) {
         for (const auto& [id, worker] : p.workers) {
-            if (domains.contains(worker.domain)) {
+            if (domains.contains(worker.domain) || unreadable.contains(worker.domain)) {
                 continue;
             }
+            std::optional<table_row> row;
+            try {
+                row = read_row(domain_key(worker.domain));
+            } catch (const error&) {
+                return;
+            }
             try {
-                const auto row = read_row(domain_key(worker.domain));
                 domains[worker.domain] =
                     row ? cached_domain{decode<domain_row>(row->value).is_drained, row->version}
                         : cached_domain{};
-            } catch (const error&) {
-                return;
+            } catch (const error& failure) {
+                // No claim in this domain until its row can be read; it may be drained.
+                unreadable.insert(worker.domain);
+                record_unreadable(number, *row, failure);
             }
         }
     }
