scheduling: a job is cancelled as a whole or not at all

Cause: the rows of a job went into the common transaction of several cancellations one by one. If a later row of the job could not be read, or the table failed in between, the job was reported as not cancelled, but the rows that had been added were deleted with the other jobs: its tasks were lost while the job row counted them as open. Change: the rows of a job are added once all of them have been read. Result: scheduling_test -tc='a job with an odd group row*' before: CHECK( w.rows.read(group_key(partition_number(0), job_id("odd"), 0)).has_value() ) is NOT correct! values: CHECK( false ) After: passes.

--- a/libs/scheduling/src/cancellation.cpp
+++ b/libs/scheduling/src/cancellation.cpp
@@ -52,6 +52,9 @@
     if (job.state != job_state::active) {
         return false;
     }
+    // Added to the transaction once all groups have been read: a job is cancelled as a whole.
+    table_transaction change;
+    std::vector<partition_number> changed;
     for (std::uint32_t k = 0; k < job.group_partitions.size(); ++k) {
         const partition_number shard = job.group_partitions[k];
         const std::string key = group_key(shard, id, k);
@@ -59,8 +62,8 @@
         if (!row) {
             continue;  // The group has ended and is counted in the job row.
         }
-        transaction.conditions.push_back({key, row->version});
-        transaction.deletes.push_back(key);
+        change.conditions.push_back({key, row->version});
+        change.deletes.push_back(key);
         ++job.ended_groups;
         for (const auto& task : decode<group_row>(row->value).tasks) {
             job.ended_tasks.finished += task.state == task_state::finished ? 1 : 0;
@@ -69,12 +72,17 @@
             const bool ends_now = !is_terminal(task.state) || task.state == task_state::cancelled;
             job.ended_tasks.cancelled += ends_now ? 1 : 0;
         }
-        shards.push_back(shard);
+        changed.push_back(shard);
     }
     job.state = job_state::cancelled;
     job.ended_at = time.utc_now();
-    transaction.conditions.push_back({job_key(id), stored->version});
+    change.conditions.push_back({job_key(id), stored->version});
     transaction.puts.push_back({job_key(id), encode(job)});
+    transaction.conditions.insert(transaction.conditions.end(), change.conditions.begin(),
+                                  change.conditions.end());
+    transaction.deletes.insert(transaction.deletes.end(), change.deletes.begin(),
+                               change.deletes.end());
+    shards.insert(shards.end(), changed.begin(), changed.end());
     return true;
 }
 
