protocol: numbers that only grow end before their range does

Cause: an epoch, version, attempt or sequence number was read up to the end of its range. After one odd value at the end every sound one counted as old (agent.inventory with the highest epoch: the agent takes no reply of any owner any more), and the next number was 0: an owner with epoch 0, a task started with attempt 0, below the fencing tokens given out before. Change: the upper half of the range of these numbers is refused in all messages and rows. Incarnations are random and keep the whole range. agent.inventory is a typed message, read and written like the others; what is on the wire is unchanged. integer_of() is public for other readers. A value in the lower half that is far too high is still taken.

--- a/libs/agent/src/agent_parts.cpp
+++ b/libs/agent/src/agent_parts.cpp
@@ -46,15 +46,6 @@
     to.add(total > before ? total - before : 0);
 }
 
-// {"address":"127.0.0.1","port":7302}, as in the typed messages.
-endpoint to_endpoint(const nlohmann::json& message) {
-    try {
-        return {message.at("address").get<std::string>(), message.at("port").get<std::uint16_t>()};
-    } catch (const nlohmann::json::exception&) {
-        throw error(result_code::malformed_request, "\"from\" is no address and port");
-    }
-}
-
 }  // namespace
 
 agent_parts::agent_parts(const settings& values, incarnation_number incarnation, tracer& spans,
@@ -121,18 +112,15 @@
 }
 
 std::string agent_parts::answer_inventory(const std::string& params) {
-    const auto message = nlohmann::json::parse(params, nullptr, false);
-    const auto epoch = message.is_object() ? message.find("epoch") : message.end();
-    if (!message.is_object() || epoch == message.end() || !epoch->is_number_unsigned()) {
+    const auto request = decode<inventory_request>(params);
+    if (request.epoch == epoch_number()) {
         throw error(result_code::malformed_request, "agent.inventory needs \"epoch\"");
     }
-    std::optional<endpoint> from;
-    if (const auto sender = message.find("from"); sender != message.end()) {
-        from = to_endpoint(*sender);
+    if (request.from && (request.from->address.empty() || request.from->port == 0)) {
+        throw error(result_code::malformed_request, "\"from\" is no address and port");
     }
     sync_loop* const loop = running_loop_.load();
-    const bool is_accepted =
-        loop != nullptr && loop->accept_inventory(epoch_number(epoch->get<std::uint64_t>()), from);
+    const bool is_accepted = loop != nullptr && loop->accept_inventory(request.epoch, request.from);
     return nlohmann::json{{"accepted", is_accepted}}.dump();
 }
 
--- a/libs/entry/src/loops.cpp
+++ b/libs/entry/src/loops.cpp
@@ -264,9 +264,7 @@
     }
     for (const auto& query : due.inventory_queries) {
         call(query.agent.control, "agent.inventory",
-             "{\"epoch\":" + std::to_string(query.epoch.value()) + ",\"from\":{\"address\":\"" +
-                 self_.control.address + "\",\"port\":" + std::to_string(self_.control.port) +
-                 "}}");
+             encode(inventory_request{query.epoch, self_.control}));
     }
     for (const auto& query : due.runtime_queries) {
         (void)control_calls_.try_run([this, query] { ask_runtime(query); });
--- a/libs/protocol/include/tanagerpaddle/protocol.hpp
+++ b/libs/protocol/include/tanagerpaddle/protocol.hpp
@@ -197,6 +197,16 @@
     std::int64_t next_sync_ms = 2'000;
 };
 
+// ---------------------------------------------------------------------------------------------
+// agent.inventory: a new owner asks
+
+struct inventory_request {
+    // At least 1.
+    epoch_number epoch;
+    // Where the owner takes syncs.
+    std::optional<endpoint> from;
+};
+
 // ---------------------------------------------------------------------------------------------
 // agent.cancel: an entry withdraws a request
 
@@ -373,8 +383,16 @@
 // The same with all fields, for people and tools.
 template <class Message>
 [[nodiscard]] std::string encode_complete(const Message& message);
-// Throws error(malformed_request) naming the message type if the text is no such message.
+// Throws error(malformed_request) naming the message type if the text is no such message. Refuses
+// numbers that do not fit their field, and the upper half of the range of those that only grow
+// (versions, epochs, attempts, sequence numbers), from which counting on would start again at 0.
 template <class Message>
 [[nodiscard]] Message decode(std::string_view text);
 
+// The integer of a JSON value; the library itself converts numbers without a check of their range.
+// Throws error(malformed_request) if the value is no integer or does not fit. Defined for 16, 32
+// and 64 bits without and 64 bits with sign.
+template <class Integer>
+[[nodiscard]] Integer integer_of(const nlohmann::json& j);
+
 }  // namespace tanagerpaddle
--- a/libs/protocol/src/json.cpp
+++ b/libs/protocol/src/json.cpp
@@ -1,6 +1,7 @@
 // JSON conversions of the messages and rows. Missing fields take their defaults, so that daemons
 // of neighbouring versions understand each other.
 
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -20,9 +21,10 @@
                 "not a valid message: a value " + shown + " is out of range");
 }
 
-// The library converts numbers without a check of their range.
+}  // namespace
+
 template <class Integer>
-Integer read_integer(const nlohmann::json& j) {
+Integer integer_of(const nlohmann::json& j) {
     if (j.is_number_unsigned()) {
         const auto value = j.get<std::uint64_t>();
         if (std::in_range<Integer>(value)) {
@@ -37,6 +39,30 @@
     throw_out_of_range(j);
 }
 
+template std::uint16_t integer_of<std::uint16_t>(const nlohmann::json& j);
+template std::uint32_t integer_of<std::uint32_t>(const nlohmann::json& j);
+template std::int64_t integer_of<std::int64_t>(const nlohmann::json& j);
+template std::uint64_t integer_of<std::uint64_t>(const nlohmann::json& j);
+
+namespace {
+
+// Numbers that grow one by one over the whole life of a system: their holders ignore lower ones and
+// compute the next one. No sound one comes near the upper half of its range. The same holds for all
+// plain numbers of 64 bits without sign.
+template <class Value>
+constexpr bool is_mark =
+    std::is_same_v<Value, epoch_number> || std::is_same_v<Value, config_version> ||
+    std::is_same_v<Value, attempt_number>;
+
+template <class Integer>
+Integer read_mark(const nlohmann::json& j) {
+    const auto value = integer_of<Integer>(j);
+    if (value > std::numeric_limits<Integer>::max() / 2) {
+        throw_out_of_range(j);
+    }
+    return value;
+}
+
 // The highest enumerator; all enumerations of the messages count from 0.
 template <class Enumeration>
 constexpr Enumeration last_enumerator = Enumeration();
@@ -62,19 +88,21 @@
 template <class Value>
 void read_value(const nlohmann::json& j, Value& value) {
     if constexpr (std::is_same_v<Value, result_code>) {
-        const int number = read_integer<std::uint16_t>(j);
+        const int number = integer_of<std::uint16_t>(j);
         value = result_code_from_number(number);
         if (static_cast<int>(value) != number) {
             throw_out_of_range(j);
         }
     } else if constexpr (std::is_enum_v<Value>) {
-        const auto number = read_integer<std::underlying_type_t<Value>>(j);
+        const auto number = integer_of<std::underlying_type_t<Value>>(j);
         if (number > static_cast<std::underlying_type_t<Value>>(last_enumerator<Value>)) {
             throw_out_of_range(j);
         }
         value = static_cast<Value>(number);
+    } else if constexpr (std::is_same_v<Value, std::uint64_t>) {
+        value = read_mark<Value>(j);
     } else if constexpr (std::is_integral_v<Value> && !std::is_same_v<Value, bool>) {
-        value = read_integer<Value>(j);
+        value = integer_of<Value>(j);
     } else {
         j.get_to(value);
     }
@@ -141,7 +169,12 @@
         j = number.value();
     }
     static void from_json(const json& j, tanagerpaddle::strong_number<Tag, Rep>& number) {
-        number = tanagerpaddle::strong_number<Tag, Rep>(tanagerpaddle::read_integer<Rep>(j));
+        using value_type = tanagerpaddle::strong_number<Tag, Rep>;
+        if constexpr (tanagerpaddle::is_mark<value_type>) {
+            number = value_type(tanagerpaddle::read_mark<Rep>(j));
+        } else {
+            number = value_type(tanagerpaddle::integer_of<Rep>(j));
+        }
     }
 };
 
@@ -149,7 +182,7 @@
 struct adl_serializer<std::chrono::milliseconds> {
     static void to_json(json& j, const std::chrono::milliseconds& value) { j = value.count(); }
     static void from_json(const json& j, std::chrono::milliseconds& value) {
-        value = std::chrono::milliseconds(tanagerpaddle::read_integer<std::int64_t>(j));
+        value = std::chrono::milliseconds(tanagerpaddle::integer_of<std::int64_t>(j));
     }
 };
 
@@ -189,6 +222,7 @@
 TANAGERPADDLE_JSON(agent_configuration, version, services, is_domain_drained)
 TANAGERPADDLE_JSON(sync_reply, code, redirect, epoch, lease_ms, current, starts, orders,
                    acknowledged, configuration, entries, next_sync_ms)
+TANAGERPADDLE_JSON(inventory_request, epoch, from)
 TANAGERPADDLE_JSON(cancel_request, id, incarnation)
 TANAGERPADDLE_JSON(cancel_reply, outcome)
 TANAGERPADDLE_JSON(known_target, target, worker, incarnation, control, domain, is_leaving)
@@ -246,6 +280,7 @@
 TANAGERPADDLE_INSTANTIATE_JSON(task_report);
 TANAGERPADDLE_INSTANTIATE_JSON(sync_request);
 TANAGERPADDLE_INSTANTIATE_JSON(sync_reply);
+TANAGERPADDLE_INSTANTIATE_JSON(inventory_request);
 TANAGERPADDLE_INSTANTIATE_JSON(cancel_request);
 TANAGERPADDLE_INSTANTIATE_JSON(cancel_reply);
 TANAGERPADDLE_INSTANTIATE_JSON(entry_digest);
