platform: odd answers of the runtime and the table are errors with a code

Cause: numbers were converted without a check of their range, from floating point with undefined results: a task appeared under another attempt or with another demand, a row under another version. An error whose code had 33 bits became "ok"; one whose message is no text left the call as an exception that the agent's threads do not handle, and the process ended. Change: all numbers are checked; amounts may not be negative, which would add to what the ledger has free. Progress is brought into 0 to 1. Errors are of class error and never carry "ok". A list with an odd task is refused as a whole: to leave the task out would free its resources and let another attempt start beside it.

--- a/libs/platform/src/http_table.cpp
+++ b/libs/platform/src/http_table.cpp
@@ -70,7 +70,7 @@
 table_row decode_row(const json& row, bool is_hex) {
     auto value = row.at("value").get<std::string>();
     return {row.at("key").get<std::string>(), is_hex ? from_hex_digits(value) : std::move(value),
-            row_version(row.at("version").get<std::uint64_t>())};
+            row_version(integer_of<std::uint64_t>(row.at("version")))};
 }
 
 bool is_refused(const call_result& result) {
@@ -117,6 +117,8 @@
         return decode_row(row, is_hex_message(answer));
     } catch (const json::exception& failure) {
         throw error(result_code::store_unavailable, failure.what());
+    } catch (const error& failure) {
+        throw error(result_code::store_unavailable, failure.what());
     }
 }
 
@@ -133,6 +135,8 @@
         return rows;
     } catch (const json::exception& failure) {
         throw error(result_code::store_unavailable, failure.what());
+    } catch (const error& failure) {
+        throw error(result_code::store_unavailable, failure.what());
     }
 }
 
@@ -151,11 +155,13 @@
         const json answer = json::parse(result.body);
         commit_result decoded;
         answer.at("committed").get_to(decoded.committed);
-        decoded.version = row_version(answer.at("version").get<std::uint64_t>());
+        decoded.version = row_version(integer_of<std::uint64_t>(answer.at("version")));
         answer.at("conflicts").get_to(decoded.conflicts);
         return decoded;
     } catch (const json::exception& failure) {
         throw error(result_code::store_outcome_unknown, failure.what());
+    } catch (const error& failure) {
+        throw error(result_code::store_outcome_unknown, failure.what());
     }
 }
 
--- a/libs/platform/src/http_worker_runtime.cpp
+++ b/libs/platform/src/http_worker_runtime.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 #include "platform_connections.hpp"
@@ -10,6 +11,8 @@
 
 constexpr std::string_view service_name = "worker runtime";
 constexpr int status_ok = 200;
+// Of a message that the runtime gives with an error.
+constexpr std::size_t max_shown_message_bytes = 300;
 
 json to_json(const task_attempt& attempt) {
     return {{"job", attempt.task.job.value()},
@@ -51,25 +54,51 @@
     throw error(result_code::outcome_unknown, "unknown task state " + text);
 }
 
+// A negative amount would add to what the ledger has free; large ones would overflow its sums.
+std::int64_t amount_of(const json& value, std::int64_t largest = configuration_limits::amount) {
+    const auto amount = integer_of<std::int64_t>(value);
+    if (amount < 0 || amount > largest) {
+        throw error(result_code::malformed_request,
+                    "an amount of " + std::to_string(amount) + " is out of range");
+    }
+    return amount;
+}
+
 runtime_task decode_task(const json& message) {
     runtime_task task;
     const json& id = message.at("task");
     task.attempt.task.job = job_id(id.at("job").get<std::string>());
-    task.attempt.task.index = id.at("index").get<std::uint32_t>();
-    task.attempt.attempt = attempt_number(id.at("attempt").get<std::uint32_t>());
+    task.attempt.task.index = integer_of<std::uint32_t>(id.at("index"));
+    task.attempt.attempt = attempt_number(integer_of<std::uint32_t>(id.at("attempt")));
     task.state = state_from_name(message.at("state").get<std::string>());
     const json& demand = message.at("demand");
-    task.demand.processors = millicores(demand.at("processors").get<std::int64_t>());
-    task.demand.memory = mebibytes(demand.at("memory").get<std::int64_t>());
-    task.demand.accelerators = accelerator_count(demand.at("accelerators").get<std::int64_t>());
-    message.at("progress").get_to(task.progress);
+    task.demand.processors = millicores(amount_of(demand.at("processors")));
+    task.demand.memory = mebibytes(amount_of(demand.at("memory")));
+    task.demand.accelerators = accelerator_count(amount_of(demand.at("accelerators")));
+    task.progress = std::clamp(message.at("progress").get<double>(), 0.0, 1.0);
     message.at("checkpoint").get_to(task.checkpoint);
-    task.used_processors = millicores(message.at("used_processors").get<std::int64_t>());
-    message.at("run_ms").get_to(task.run_ms);
-    message.at("speed_percent").get_to(task.speed_percent);
+    task.used_processors = millicores(amount_of(message.at("used_processors")));
+    task.run_ms = amount_of(message.at("run_ms"), configuration_limits::run_time.count());
+    task.speed_percent = integer_of<std::uint32_t>(message.at("speed_percent"));
     return task;
 }
 
+// internal_error if the value is no number of a result code.
+result_code named_code(const json& value) {
+    try {
+        return result_code_from_number(integer_of<std::uint16_t>(value));
+    } catch (const error&) {
+        return result_code::internal_error;
+    }
+}
+
+std::string named_message(const json& body) {
+    const auto message = body.find("message");
+    return message != body.end() && message->is_string()
+               ? message->get<std::string>().substr(0, max_shown_message_bytes)
+               : std::string();
+}
+
 // Throws the code that the runtime named; outcome_unknown if it named none.
 [[noreturn]] void throw_answered_error(const platform_connections& clients,
                                        const call_result& result) {
@@ -77,12 +106,12 @@
     if (!body.is_object() || !body.contains("code") || !body["code"].is_number_integer()) {
         throw error(result_code::outcome_unknown, describe(service_name, clients, result));
     }
-    const auto code = result_code_from_number(body["code"].get<int>());
+    const auto code = named_code(body["code"]);
     // The interface knows one code for an effect that is not certain.
-    const bool is_uncertain =
-        code == result_code::internal_error || code == result_code::store_outcome_unknown;
+    const bool is_uncertain = code == result_code::ok || code == result_code::internal_error ||
+                              code == result_code::store_outcome_unknown;
     throw error(is_uncertain ? result_code::outcome_unknown : code,
-                describe(service_name, clients, result) + ": " + body.value("message", ""));
+                describe(service_name, clients, result) + ": " + named_message(body));
 }
 
 json call(platform_connections& clients, const clock& time, const std::string& operation,
@@ -125,6 +154,8 @@
         return tasks;
     } catch (const json::exception& failure) {
         throw error(result_code::outcome_unknown, failure.what());
+    } catch (const error& failure) {
+        throw error(result_code::outcome_unknown, failure.what());
     }
 }
 
