entry: an operation recorded without a sound version counts as accepted

Cause: the version that is recorded with an operation id was converted though nobody needed it. A text that is no number, or one past 64 bits, ended the repeated change with an error without a result code, so that its operator could not learn that it had been accepted. Change: only the id is compared. Result: entry_test -sf='*odd_*' before: CHECK_NOTHROW( accepted = configurations.apply(...) ) THREW exception, for "op-1@", "op-1@x" and "op-1@".

--- a/libs/entry/src/configuration_store.cpp
+++ b/libs/entry/src/configuration_store.cpp
@@ -15,15 +15,10 @@
     return operation.value() + "@" + std::to_string(version.value());
 }
 
-std::optional<config_version> version_made_by(const configuration_row& row,
-                                              const operation_id& operation) {
+bool was_accepted(const configuration_row& row, const operation_id& operation) {
     const std::string prefix = operation.value() + "@";
-    for (const std::string& item : row.operations) {
-        if (item.starts_with(prefix)) {
-            return config_version(std::stoull(item.substr(prefix.size())));
-        }
-    }
-    return std::nullopt;
+    return std::any_of(row.operations.begin(), row.operations.end(),
+                       [&](const std::string& item) { return item.starts_with(prefix); });
 }
 
 void check_document(const configuration& declared) {
@@ -80,7 +75,7 @@
             const auto present = rows_.read(std::string(configuration_key));
             configuration_row row =
                 present ? decode<configuration_row>(present->value) : configuration_row{};
-            if (version_made_by(row, change.operation)) {
+            if (was_accepted(row, change.operation)) {
                 return parse_row(std::move(row));
             }
             if (row.version != change.expected) {
