entry: a change of the configuration replaces an odd row of a failure domain

Cause: each change reads the rows domain/<name> of all failure domains. One that could not be read ended the change with an error, so that operators could change nothing, not even drain another domain, until somebody had mended the row by hand. Change: a row that cannot be read is written anew by the next change. Result: entry_test -sf='*odd_*' before: CHECK_NOTHROW( (void)configurations.apply(...) ) THREW exception: "not a valid message: ..."; REQUIRE( b.has_value() ) is NOT correct!

--- a/libs/entry/src/configuration_store.cpp
+++ b/libs/entry/src/configuration_store.cpp
@@ -21,6 +21,18 @@
                        [&](const std::string& item) { return item.starts_with(prefix); });
 }
 
+// False without a row; nothing if the row cannot be read, so that the next change writes it.
+std::optional<bool> stored_drain(const std::optional<table_row>& row) {
+    if (!row) {
+        return false;
+    }
+    try {
+        return decode<domain_row>(row->value).is_drained;
+    } catch (const error&) {
+        return std::nullopt;
+    }
+}
+
 void check_document(const configuration& declared) {
     const auto problems = validate(declared);
     if (problems.empty()) {
@@ -54,8 +66,7 @@
     for (const auto& domain : declared.failure_domains) {
         const bool is_drained = declared.is_drained(domain.id);
         const auto row = rows_.read(domain_key(domain.id));
-        const bool was_drained = row && decode<domain_row>(row->value).is_drained;
-        if (is_drained != was_drained) {
+        if (stored_drain(row) != is_drained) {
             result.conditions.push_back(
                 {domain_key(domain.id), row ? row->version : row_version()});
             result.puts.push_back(
