entry: a configuration row that is not valid does not take effect

Cause: changes by operators are validated, but a row config/current of another writer was only parsed. A negative quota or two failure domains with one id took effect at each entry that read it. An entry with a row that it could not read also reported that the table was not available. Change: what is read from the table or from another entry is validated as well. A row that cannot be read leaves the table available. Result: entry_test -tc='an odd configuration row is refused*' before: CHECK_THROWS_AS( (void)configurations.read_newer(config_version(1)), error ) did NOT throw at all! (2 of 12 rows) After: entry_test 23 cases, 295 assertions passed. is_store_available_ has no test of its own.

--- a/libs/entry/src/configuration_store.cpp
+++ b/libs/entry/src/configuration_store.cpp
@@ -50,8 +50,10 @@
 accepted_configuration parse_row(configuration_row row) {
     accepted_configuration result;
     result.version = row.version;
-    result.declared =
+    auto declared =
         std::make_shared<const configuration>(from_yaml(row.document, "config/current"));
+    check_document(*declared);
+    result.declared = std::move(declared);
     result.row = std::move(row);
     return result;
 }
--- a/libs/entry/src/loops.cpp
+++ b/libs/entry/src/loops.cpp
@@ -59,7 +59,8 @@
             accept_configuration(newer);
         }
     } catch (const error& failure) {
-        is_store_available_.store(false);
+        // A row that cannot be read says nothing about the table.
+        is_store_available_.store(failure.code() != result_code::store_unavailable);
         log_event(log_level::warning, "configuration_not_read",
                   {{"code", failure.code()}, {"message", failure.what()}});
         fetch_configuration_from_entries();
