scheduling: a sync with amounts beyond all limits is refused

Cause: capacity, free amounts and demands of a sync had no bounds. One of 2^63 - 1 overflowed the sums of the partition; the worker counted as the one with most room and was offered work. Change: a sync without a worker's id, with amounts beyond the limits of configurations or with more free than it has is refused with malformed_request and changes nothing; the worker's next sound sync is taken. Result: scheduling_test -sf='*odd_syncs*' before: CHECK_THROWS_AS( (void)w.entries[0]->scheduler->sync(request), error ) did NOT throw at all! CHECK( w.entries[0]->scheduler->partitions().front().worker_count == 1 ): 2 == 1 The sound job finished there before as well. After: scheduling_test 57 cases, 27156 assertions passed.

--- a/libs/scheduling/include/tanagerpaddle/scheduling.hpp
+++ b/libs/scheduling/include/tanagerpaddle/scheduling.hpp
@@ -321,6 +321,8 @@
     // Handles a sync of an agent. The code is not_owner, with a redirect, if another entry owns
     // or should own the partition, and not_ready if no owner is known or this one cannot grant
     // leases now.
+    // Throws error(malformed_request) for a sync without a worker or with amounts beyond the limits
+    // of configurations, which has no effect.
     [[nodiscard]] sync_reply sync(const sync_request& request);
 
     // Creates the job in any partition. `is_declared`: the job is part of the current
--- a/libs/scheduling/src/scheduler_state.hpp
+++ b/libs/scheduling/src/scheduler_state.hpp
@@ -374,6 +374,8 @@
 // amounts or times beyond the limits of configurations.
 [[nodiscard]] partition_row read_partition_row(const table_row& stored);
 [[nodiscard]] group_row read_group_row(partition_number partition, const table_row& stored);
+// Throws error(malformed_request) if the worker has no id or names amounts beyond the limits.
+void check_sync(const sync_request& request);
 // True if demand and run time are within the limits of configurations.
 [[nodiscard]] bool has_sound_size(const job_declaration& job);
 // The nearest value from 0 to 1.
--- a/libs/scheduling/src/stored_rows.cpp
+++ b/libs/scheduling/src/stored_rows.cpp
@@ -23,6 +23,13 @@
     return amount.is_non_negative() && amount.fits_in(largest);
 }
 
+// Negative if more is committed than an agent's capacity has become.
+bool is_sound_free(const resources& free) {
+    constexpr auto largest = configuration_limits::amount;
+    return free.processors.value() >= -largest && free.memory.value() >= -largest &&
+           free.accelerators.value() >= -largest;
+}
+
 }  // namespace
 
 bool has_sound_size(const job_declaration& job) {
@@ -38,6 +45,18 @@
     return std::clamp(milliseconds(reported_ms), milliseconds(0), configuration_limits::run_time);
 }
 
+void check_sync(const sync_request& request) {
+    const bool is_sound =
+        !request.worker.empty() && is_sound_amount(request.capacity) &&
+        request.free.fits_in(request.capacity) && is_sound_free(request.free) &&
+        std::all_of(request.tasks.begin(), request.tasks.end(),
+                    [](const held_task& task) { return is_sound_amount(task.demand); });
+    if (!is_sound) {
+        throw error(result_code::malformed_request,
+                    "a sync of worker '" + request.worker.value() + "' with amounts out of range");
+    }
+}
+
 partition_row read_partition_row(const table_row& stored) {
     auto row = decode<partition_row>(stored.value);
     if (row.horizon_ms < 0 || row.horizon_ms > max_horizon.count()) {
--- a/libs/scheduling/src/sync.cpp
+++ b/libs/scheduling/src/sync.cpp
@@ -36,6 +36,7 @@
 }
 
 sync_reply scheduler_state::sync(const sync_request& request) {
+    check_sync(request);
     sync_reply reply;
     reply.entries = live_entries;
     reply.next_sync_ms = options.sync_interval.count();
