scheduling: an agent syncs on after a reply with odd times

Cause: an agent waited for as long as a reply said until it synced again. After one reply with 10^12 ms it was lost: its owner gave it up after 6 s and never woke it. Leases and permits of any length were added to instants and overflowed. Change: the next sync is due within 1 ms to 60 s, the horizon's length. Leases and permits are brought into 0 to 24 h.

--- a/libs/agent/src/sync_loop.cpp
+++ b/libs/agent/src/sync_loop.cpp
@@ -6,6 +6,13 @@
 
 namespace tanagerpaddle {
 
+namespace {
+
+// For the log and the metrics only; far from overflow when added to an instant.
+constexpr milliseconds max_shown_lease = std::chrono::hours(24);
+
+}  // namespace
+
 sync_loop::sync_loop(const sync_loop_options& options, agent_tasks& tasks, rpc_client& calls,
                      const clock& time, target_source targets, std::function<void()> after_tick)
     : options_(options),
@@ -212,7 +219,8 @@
         rotation_.prefer(entry);
         is_leaving_reported_ = is_leaving_reported_ || request.is_leaving;
         has_lease_ = reply.lease_ms > 0;
-        lease_end_ = deadline::after(sent_at, milliseconds(reply.lease_ms));
+        lease_end_ = deadline::after(
+            sent_at, std::clamp(milliseconds(reply.lease_ms), milliseconds(0), max_shown_lease));
     } else if (reply.redirect) {
         rotation_.prefer(reply.redirect->control);
     } else {
--- a/libs/scheduling/src/agent_starts.cpp
+++ b/libs/scheduling/src/agent_starts.cpp
@@ -24,7 +24,7 @@
         return result_code::stale_epoch;
     }
     if (options.mechanisms.check_permit_window &&
-        time.now() >= requested_at + milliseconds(permit.valid_ms)) {
+        time.now() >= requested_at + sound_time(permit.valid_ms)) {
         return result_code::deadline_exceeded_not_run;
     }
     return result_code::ok;
@@ -88,7 +88,7 @@
     task.lease_until = lease_end;
     const std::int64_t lease_ms = remaining_lease_ms(task);
     const bool has_expired = options.mechanisms.check_permit_window &&
-                             time.now() >= requested_at + milliseconds(permit.valid_ms);
+                             time.now() >= requested_at + sound_time(permit.valid_ms);
     if (has_expired || lease_ms <= 0) {
         ledger.release(key);
         add_report(permit.attempt, report_kind::refused, result_code::deadline_exceeded_not_run);
@@ -98,7 +98,7 @@
     if (options.mechanisms.check_permit_window) {
         // The runtime measures the time from its receipt of this call, which may wait in the
         // socket while the runtime is frozen.
-        const auto end = requested_at + milliseconds(permit.valid_ms);
+        const auto end = requested_at + sound_time(permit.valid_ms);
         adjusted_permit.valid_ms =
             std::chrono::duration_cast<milliseconds>(end - time.now()).count();
     }
--- a/libs/scheduling/src/agent_state.hpp
+++ b/libs/scheduling/src/agent_state.hpp
@@ -2,6 +2,7 @@
 
 // State of agent_tasks. Its member functions are grouped by purpose in the source files.
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <set>
@@ -37,6 +38,14 @@
     std::uint32_t speed_percent = 100;
 };
 
+// Longer than any lease or permit, and far from overflow when added to an instant.
+inline constexpr milliseconds max_granted_time = std::chrono::hours(24);
+
+// A time that an owner grants, from 0 to the longest one.
+[[nodiscard]] inline milliseconds sound_time(std::int64_t granted_ms) {
+    return std::clamp(milliseconds(granted_ms), milliseconds(0), max_granted_time);
+}
+
 class agent_state {
 public:
     agent_state(const agent_options& chosen, worker_identity own, instance_ledger& commitments,
--- a/libs/scheduling/src/agent_sync.cpp
+++ b/libs/scheduling/src/agent_sync.cpp
@@ -6,6 +6,14 @@
 
 namespace tanagerpaddle {
 
+namespace {
+
+constexpr milliseconds min_sync_interval{1};
+// An owner that hears nothing for longer gives the worker up; its horizon is no longer either.
+constexpr milliseconds max_sync_interval{60'000};
+
+}  // namespace
+
 bool agent_state::recover() {
     std::vector<runtime_task> found;
     try {
@@ -129,10 +137,11 @@
         return;
     }
     epoch = reply.epoch;
-    next_sync_at = deadline::after(sent_at, milliseconds(reply.next_sync_ms));
+    next_sync_at = deadline::after(sent_at, std::clamp(milliseconds(reply.next_sync_ms),
+                                                       min_sync_interval, max_sync_interval));
     acknowledge(reply.acknowledged);
     const instant requested_at = sent_at;
-    const instant lease_end = requested_at + milliseconds(reply.lease_ms);
+    const instant lease_end = requested_at + sound_time(reply.lease_ms);
     for (auto& [attempt, task] : tasks) {
         task.is_current = false;
     }
