--- a/libs/entry/src/configuration_store.cpp
+++ b/libs/entry/src/configuration_store.cpp
@@ -15,15 +15,22 @@
     return operation.value() + "@" + std::to_string(version.value());
 }
 
-std::optional<config_version> version_made_by(const configuration_row& row,
-                                              const operation_id& operation) {
+bool was_accepted(const configuration_row& row, const operation_id& operation) {
     const std::string prefix = operation.value() + "@";
-    for (const std::string& item : row.operations) {
-        if (item.starts_with(prefix)) {
-            return config_version(std::stoull(item.substr(prefix.size())));
-        }
+    return std::any_of(row.operations.begin(), row.operations.end(),
+                       [&](const std::string& item) { return item.starts_with(prefix); });
+}
+
+// False without a row; nothing if the row cannot be read, so that the next change writes it.
+std::optional<bool> stored_drain(const std::optional<table_row>& row) {
+    if (!row) {
+        return false;
+    }
+    try {
+        return decode<domain_row>(row->value).is_drained;
+    } catch (const error&) {
+        return std::nullopt;
     }
-    return std::nullopt;
 }
 
 void check_document(const configuration& declared) {
@@ -43,8 +50,10 @@
 accepted_configuration parse_row(configuration_row row) {
     accepted_configuration result;
     result.version = row.version;
-    result.declared =
+    auto declared =
         std::make_shared<const configuration>(from_yaml(row.document, "config/current"));
+    check_document(*declared);
+    result.declared = std::move(declared);
     result.row = std::move(row);
     return result;
 }
@@ -59,8 +68,7 @@
     for (const auto& domain : declared.failure_domains) {
         const bool is_drained = declared.is_drained(domain.id);
         const auto row = rows_.read(domain_key(domain.id));
-        const bool was_drained = row && decode<domain_row>(row->value).is_drained;
-        if (is_drained != was_drained) {
+        if (stored_drain(row) != is_drained) {
             result.conditions.push_back(
                 {domain_key(domain.id), row ? row->version : row_version()});
             result.puts.push_back(
@@ -80,7 +88,7 @@
             const auto present = rows_.read(std::string(configuration_key));
             configuration_row row =
                 present ? decode<configuration_row>(present->value) : configuration_row{};
-            if (version_made_by(row, change.operation)) {
+            if (was_accepted(row, change.operation)) {
                 return parse_row(std::move(row));
             }
             if (row.version != change.expected) {
--- a/libs/entry/src/loops.cpp
+++ b/libs/entry/src/loops.cpp
@@ -59,7 +59,8 @@
             accept_configuration(newer);
         }
     } catch (const error& failure) {
-        is_store_available_.store(false);
+        // A row that cannot be read says nothing about the table.
+        is_store_available_.store(failure.code() != result_code::store_unavailable);
         log_event(log_level::warning, "configuration_not_read",
                   {{"code", failure.code()}, {"message", failure.what()}});
         fetch_configuration_from_entries();
@@ -264,9 +265,7 @@
     }
     for (const auto& query : due.inventory_queries) {
         call(query.agent.control, "agent.inventory",
-             "{\"epoch\":" + std::to_string(query.epoch.value()) + ",\"from\":{\"address\":\"" +
-                 self_.control.address + "\",\"port\":" + std::to_string(self_.control.port) +
-                 "}}");
+             encode(inventory_request{query.epoch, self_.control}));
     }
     for (const auto& query : due.runtime_queries) {
         (void)control_calls_.try_run([this, query] { ask_runtime(query); });
--- a/libs/scheduling/src/commits.cpp
+++ b/libs/scheduling/src/commits.cpp
@@ -137,8 +137,11 @@
             if (!stored) {
                 continue;
             }
-            found = jobs.emplace(key, changed_job{decode<job_row>(stored->value), stored->version})
-                        .first;
+            auto row = read_job_row(*stored);
+            if (!row) {
+                continue;  // As for a job without a row: nothing counts its groups.
+            }
+            found = jobs.emplace(key, changed_job{*std::move(row), stored->version}).first;
         }
         job_row& job = found->second.row;
         ++job.ended_groups;
@@ -219,7 +222,7 @@
             group.row = std::move(before->second.row);
         } else {
             try {
-                group.row = decode<group_row>(row.value);
+                group.row = read_group_row(p.number, row);
             } catch (const error& failure) {
                 // The row stays in the table; the other groups are scheduled.
                 unreadable[row.key] = row.version;
@@ -272,7 +275,7 @@
     std::vector<table_row> found;
     try {
         const auto row = rows.read(partition_key(p.number));
-        const partition_row owner = row ? decode<partition_row>(row->value) : partition_row{};
+        const partition_row owner = row ? stored_owner(p.number, *row) : partition_row{};
         if (owner.owner != self.id || owner.incarnation != self.incarnation ||
             owner.epoch != p.epoch) {
             if (options.mechanisms.condition_on_epoch) {
--- a/libs/scheduling/src/entry_scheduler.cpp
+++ b/libs/scheduling/src/entry_scheduler.cpp
@@ -166,18 +166,26 @@
 }
 
 void scheduler_state::read_domains() {
+    std::set<failure_domain_id> unreadable;
     for (const auto& [number, p] : partitions) {
         for (const auto& [id, worker] : p.workers) {
-            if (domains.contains(worker.domain)) {
+            if (domains.contains(worker.domain) || unreadable.contains(worker.domain)) {
                 continue;
             }
+            std::optional<table_row> row;
+            try {
+                row = read_row(domain_key(worker.domain));
+            } catch (const error&) {
+                return;
+            }
             try {
-                const auto row = read_row(domain_key(worker.domain));
                 domains[worker.domain] =
                     row ? cached_domain{decode<domain_row>(row->value).is_drained, row->version}
                         : cached_domain{};
-            } catch (const error&) {
-                return;
+            } catch (const error& failure) {
+                // No claim in this domain until its row can be read; it may be drained.
+                unreadable.insert(worker.domain);
+                record_unreadable(number, *row, failure);
             }
         }
     }
@@ -205,9 +213,20 @@
 
 std::vector<job_row> entry_scheduler::list_jobs(const job_id& after, std::size_t limit) {
     std::vector<job_row> jobs;
-    const std::string start = after.empty() ? std::string() : job_key(after);
-    for (const auto& row : state_->rows.scan("job/", start, limit)) {
-        jobs.push_back(decode<job_row>(row.value));
+    std::string start = after.empty() ? std::string() : job_key(after);
+    // A shorter page is the last one, so rows that are left out are made up for.
+    while (jobs.size() < limit) {
+        const std::size_t wanted = limit - jobs.size();
+        const auto page = state_->rows.scan("job/", start, wanted);
+        for (const auto& row : page) {
+            start = row.key;
+            if (auto job = state_->read_job_row(row)) {
+                jobs.push_back(*std::move(job));
+            }
+        }
+        if (page.size() < wanted) {
+            break;
+        }
     }
     return jobs;
 }
--- a/libs/scheduling/src/sync.cpp
+++ b/libs/scheduling/src/sync.cpp
@@ -36,6 +36,7 @@
 }
 
 sync_reply scheduler_state::sync(const sync_request& request) {
+    check_sync(request);
     sync_reply reply;
     reply.entries = live_entries;
     reply.next_sync_ms = options.sync_interval.count();
@@ -114,8 +115,8 @@
             transient.checkpoint.clear();  // The attempt may have started without it.
         }
         transient.attempt = task.attempt.attempt;
-        transient.progress = task.progress;
-        transient.run_time = milliseconds(task.run_ms);
+        transient.progress = sound_progress(task.progress);
+        transient.run_time = sound_run_time(task.run_ms);
         if (!task.checkpoint.empty()) {
             transient.checkpoint = task.checkpoint;
         }
