eventio: an address that cannot be used is refused where it is read

Cause: parse_endpoint accepted any host and port 0; connecting to such an address throws. An agent's row with one was marked as connecting for good, so that the owner never connected to that agent again, also after a sound row under the same key. An owner's row with one threw out of the entry's periodic check, and that entry connected to no later owner. Before the change (odd_addresses_test): for the rows nowhere:80, 256.0.0.1:80 and others CHECK( mended[...]->claims > 0 ) is NOT correct! values: CHECK( 0 > 0 ) CHECK_NOTHROW( eventio::testing::run_for(loop, limit) ) THREW exception: "not an IPv4 address: nowhere" Change: parse_endpoint takes only an IPv4 address and a port from 1 to 65535, so that an address that was read can be connected to.

--- a/libs/eventio/include/tanagerpaddle/eventio.hpp
+++ b/libs/eventio/include/tanagerpaddle/eventio.hpp
@@ -24,7 +24,7 @@
     friend auto operator<=>(const endpoint&, const endpoint&) = default;
 };
 
-// Throws error(invalid_settings) unless `text` has the form HOST:PORT.
+// Throws error(invalid_settings) unless `text` is an IPv4 address and a port from 1 to 65535.
 [[nodiscard]] endpoint parse_endpoint(std::string_view text);
 [[nodiscard]] std::string to_string(const endpoint& address);
 
--- a/libs/eventio/src/event_loop.cpp
+++ b/libs/eventio/src/event_loop.cpp
@@ -40,13 +40,15 @@
     if (colon != std::string_view::npos && colon > 0) {
         const char* end = text.data() + text.size();
         const auto [last, failure] = std::from_chars(text.data() + colon + 1, end, result.port);
-        if (failure == std::errc() && last == end) {
-            result.host = text.substr(0, colon);
+        result.host = text.substr(0, colon);
+        error_code not_ipv4;
+        (void)asio::ip::make_address_v4(result.host, not_ipv4);
+        if (failure == std::errc() && last == end && result.port != 0 && !not_ipv4) {
             return result;
         }
     }
     throw error(result_code::invalid_settings,
-                "not an address of the form HOST:PORT: '" + std::string(text) + "'");
+                "not an address of the form IPV4:PORT: '" + std::string(text) + "'");
 }
 
 std::string to_string(const endpoint& address) {
--- a/libs/eventio/tests/http_test.cpp
+++ b/libs/eventio/tests/http_test.cpp
@@ -35,7 +35,9 @@
 TEST_CASE("valid addresses are parsed, and invalid ones are rejected with an error") {
     CHECK(parse_endpoint("10.1.0.13:8161") == endpoint{"10.1.0.13", 8161});
     CHECK(to_string(endpoint{"10.1.0.13", 8161}) == "10.1.0.13:8161");
-    for (const char* text : {"", "host", ":80", "a:", "a:70000", "a:1x"}) {
+    for (const char* text :
+         {"", "host", ":80", "a:", "a:70000", "a:1x", "a:80", "10.1.0:80", "10.1.0.256:80",
+          "10.1.0.13:0", "10.1.0.13:-1", "10.1.0.13:65536", "10.1.0.13:1x", "10.1.0.13:"}) {
         CHECK_THROWS_WITH_AS((void)parse_endpoint(text), doctest::Contains("not an address"),
                              error);
     }
