node: one checked reader for JSON of other writers

Cause: one odd row ended a process or hid all other rows. nlohmann::json copies and prints recursively, refuses a whole text for one number such as 1e999, and converts a number that does not fit into another one (undefined for floating-point numbers). Lists that are no lists counted as empty. Values below 32 levels, and numbers beyond double, become {}; numbers are checked against the range of their type and against what can be sound; lists and objects have to be such. Rows of the store, of the policy's advice and of an executor's lists that cannot be read are logged and left out. A percentage or measurement out of range is taken as the nearest in range. messages::decode_unsigned is replaced by json_input::whole_number, which is as strict.

--- a/cmake/tanagerpaddle.cmake
+++ b/cmake/tanagerpaddle.cmake
@@ -13,7 +13,7 @@
 
 # The decision libraries, which may include no socket, thread or I/O header.
 set(TANAGERPADDLE_DECISION_LIBRARIES
-  core config protocol store ledger routing placement scheduling membership dispatch)
+  core json_input config protocol store ledger routing placement scheduling membership dispatch)
 
 # tanagerpaddle_library(<name> DEPENDS <lib>... [EXTERNAL <target>...])
 # Defines library tanagerpaddle_<name> from src/*.cpp, and its tests from tests/*_test.cpp, one
--- a/libs/dispatch/src/records.cpp
+++ b/libs/dispatch/src/records.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "coordinator_state.hpp"
+#include "tanagerpaddle/json_input.hpp"
 
 namespace tanagerpaddle::dispatch {
 
@@ -46,21 +47,39 @@
     return out;
 }
 
+// A field of a row that rows of earlier versions, and those without a value, leave out.
+template <class Decode>
+auto field_or(const json& in, const char* key, std::invoke_result_t<Decode, const json&> fallback,
+              Decode decode) {
+    const auto found = json_input::object(in).find(key);
+    return found == in.end() ? fallback : decode(*found);
+}
+
+std::uint32_t count(const json& in) {
+    return json_input::whole_number<std::uint32_t>(in);
+}
+
+run_number decode_run(const json& in) {
+    return run_number(json_input::whole_number<std::uint32_t>(in, 0, json_input::max_runs));
+}
+
 step_spec decode_step(const json& in) {
     step_spec step;
-    step.task_count = in.at("n").get<std::uint32_t>();
-    step.demand = {millicores(in.at("cpu").get<std::int64_t>()),
-                   mebibytes(in.at("mem").get<std::int64_t>()),
-                   accelerator_count(in.at("acc").get<std::int64_t>())};
-    step.estimate = milliseconds(in.at("est").get<std::int64_t>());
-    step.depends_on = in.value("after", std::vector<std::uint32_t>{});
+    step.task_count = count(in.at("n"));
+    step.demand = {json_input::amount<millicores>(in.at("cpu")),
+                   json_input::amount<mebibytes>(in.at("mem")),
+                   json_input::amount<accelerator_count>(in.at("acc"))};
+    step.estimate = json_input::duration(in.at("est"));
+    for (const auto& earlier : json_input::list_or_empty(in, "after")) {
+        step.depends_on.push_back(count(earlier));
+    }
     step.required_label = in.value("label", "");
     step.preferred_rack = rack_id(in.value("rack", ""));
-    step.max_per_executor = in.value("spread", 0U);
+    step.max_per_executor = field_or(in, "spread", 0, count);
     step.image = in.value("image", "");
-    step.tail_target = milliseconds(in.value("tail", std::int64_t{0}));
+    step.tail_target = field_or(in, "tail", milliseconds(0), json_input::duration);
     if (in.contains("miss")) {
-        step.max_unavailable = in.at("miss").get<std::uint32_t>();
+        step.max_unavailable = count(in.at("miss"));
     }
     step.writes_checkpoints = in.value("ckpt", false);
     step.is_gang = in.value("gang", false);
@@ -80,10 +99,10 @@
 queue_rules decode_rules(const json& in) {
     queue_rules rules;
     rules.service = service_id(in.at("service").get<std::string>());
-    rules.priority = in.at("prio").get<int>();
-    rules.max_attempts = in.at("tries").get<std::uint32_t>();
-    rules.stretch = in.at("stretch").get<double>();
-    rules.target = milliseconds(in.at("target").get<std::int64_t>());
+    rules.priority = json_input::whole_number<int>(in.at("prio"));
+    rules.max_attempts = count(in.at("tries"));
+    rules.stretch = json_input::factor(in.at("stretch"));
+    rules.target = json_input::duration(in.at("target"));
     rules.requires_permit = in.at("advice").get<bool>();
     return rules;
 }
@@ -173,18 +192,18 @@
 
 submitted_job decode_job(std::string_view text) {
     try {
-        const json in = json::parse(text);
+        const json in = json_input::parse(text);
         submitted_job job;
         job.queue = queue_id(in.at("queue").get<std::string>());
         job.rules = decode_rules(in.at("rules"));
-        job.accepted_at = utc_millis(in.at("at").get<std::int64_t>());
+        job.accepted_at = utc_millis(json_input::time_ms(in.at("at")));
         job.spec.payload = in.at("payload").get<std::string>();
-        for (const auto& step : in.at("steps")) {
+        for (const auto& step : json_input::list(in.at("steps"))) {
             job.spec.steps.push_back(decode_step(step));
         }
-        job.spec.occurrences = in.value("times", 0U);
-        job.spec.first_due = utc_millis(in.value("first", std::int64_t{0}));
-        job.spec.interval = milliseconds(in.value("every", std::int64_t{0}));
+        job.spec.occurrences = field_or(in, "times", 0, count);
+        job.spec.first_due = utc_millis(field_or(in, "first", 0, json_input::time_ms));
+        job.spec.interval = field_or(in, "every", milliseconds(0), json_input::duration);
         validate(job.spec);
         return job;
     } catch (const json::exception& failure) {
@@ -307,15 +326,15 @@
 }
 
 std::optional<job_phase> decode_job_phase(std::string_view row) {
-    const json in = json::parse(row, nullptr, false);
-    if (!in.is_object() || !in.contains("p") || !in["p"].is_number_integer()) {
+    try {
+        const json in = json_input::parse(row);
+        return static_cast<job_phase>(
+            json_input::whole_number<std::size_t>(in.at("p"), 0, phase_names.size() - 1));
+    } catch (const json::exception&) {
         return std::nullopt;
-    }
-    const auto number = in["p"].get<int>();
-    if (number < 0 || number >= static_cast<int>(phase_names.size())) {
+    } catch (const error&) {
         return std::nullopt;
     }
-    return static_cast<job_phase>(number);
 }
 
 std::optional<progress_record> decode_progress(std::string_view row) {
@@ -326,33 +345,34 @@
     progress_record record;
     record.phase = *phase;
     try {
-        const json in = json::parse(row);
-        for (const auto& entry : in.value("t", json::array())) {
-            record.histories.push_back({entry.at(0),
-                                        entry.at(1),
-                                        entry.at(2),
-                                        run_number(entry.at(3).get<std::uint32_t>()),
-                                        entry.at(4),
+        const json in = json_input::parse(row);
+        for (const auto& entry : json_input::list_or_empty(in, "t")) {
+            record.histories.push_back({count(entry.at(0)),
+                                        count(entry.at(1)),
+                                        count(entry.at(2)),
+                                        decode_run(entry.at(3)),
+                                        count(entry.at(4)),
                                         instance_name(entry.at(5).get<std::string>()),
-                                        entry.at(6),
+                                        entry.at(6).get<std::string>(),
                                         {}});
             if (entry.size() > 8) {
                 // Earlier versions do not write the expired leases.
-                record.histories.back().crashes = {
-                    entry.at(7), entry.at(8),
-                    entry.size() > 9 ? entry.at(9).get<std::uint32_t>() : 0U};
+                record.histories.back().crashes = {count(entry.at(7)), count(entry.at(8)),
+                                                   entry.size() > 9 ? count(entry.at(9)) : 0U};
             }
         }
         const json executors = in.value("e", json::object());
-        for (const auto& [instance, incarnation] : executors.items()) {
-            record.executors[instance_name(instance)] =
-                executor_incarnation(incarnation.get<std::int64_t>());
+        for (const auto& [instance, incarnation] : json_input::object(executors).items()) {
+            record.executors[instance_name(instance)] = executor_incarnation(
+                json_input::whole_number<std::int64_t>(incarnation, 0, json_input::max_time_ms));
         }
-        for (const auto& entry : in.value("d", json::array())) {
-            for (const auto& index : entry.at(2)) {
-                record.succeeded.push_back({entry.at(0), entry.at(1), index});
+        for (const auto& entry : json_input::list_or_empty(in, "d")) {
+            for (const auto& index : json_input::list(entry.at(2))) {
+                record.succeeded.push_back({count(entry.at(0)), count(entry.at(1)), count(index)});
             }
         }
+    } catch (const error&) {
+        return std::nullopt;
     } catch (const json::exception&) {
         return std::nullopt;
     }
--- a/libs/dispatch_node/src/agent_node.cpp
+++ b/libs/dispatch_node/src/agent_node.cpp
@@ -83,7 +83,7 @@
 
     void receive(const std::shared_ptr<eventio::message_link>& from, const std::string& text) {
         try {
-            handle(from, json::parse(text));
+            handle(from, json_input::parse(text));
         } catch (const std::exception& failure) {
             log_event(log_level::error, "message_unreadable", {{"message", failure.what()}});
             std::erase(pending, from);
@@ -97,8 +97,7 @@
     void handle(const std::shared_ptr<eventio::message_link>& from, const json& message) {
         const auto kind = message.at("t").get<std::string>();
         if (kind == "claim") {
-            claim(from,
-                  epoch_number(messages::decode_unsigned<std::uint64_t>(message.at("epoch"))));
+            claim(from, messages::decode_claim_epoch(message.at("epoch")));
             return;
         }
         if (from != link) {
@@ -113,14 +112,12 @@
             core.start(order, core.epoch());
         } else if (kind == "stop") {
             core.stop(messages::decode_task(message.at("task")),
-                      run_number(messages::decode_unsigned<std::uint32_t>(message.at("run"))),
-                      core.epoch());
+                      messages::decode_run(message.at("run")), core.epoch());
         } else if (kind == "ack") {
-            core.acknowledge(
-                executor_incarnation(message.at("life").get<std::int64_t>()),
-                completion_number(messages::decode_unsigned<std::uint64_t>(message.at("number"))));
+            core.acknowledge(messages::decode_incarnation(message.at("life")),
+                             messages::decode_completion(message.at("number")));
         } else if (kind == "grant") {
-            const auto sent_at = instant(std::chrono::nanoseconds(message.at("at")));
+            const auto sent_at = messages::decode_instant(message.at("at"));
             core.lease_granted(sent_at + options.timing.lease_duration);
         } else if (kind == "describe") {
             core.set_traits(messages::decode_task(message.at("task")),
--- a/libs/dispatch_node/src/entry_node.cpp
+++ b/libs/dispatch_node/src/entry_node.cpp
@@ -184,8 +184,8 @@
         owner_answer answer;
         std::uint64_t number = 0;
         try {
-            const auto message = json::parse(text);
-            number = messages::decode_unsigned<std::uint64_t>(message.at("id"));
+            const auto message = json_input::parse(text);
+            number = json_input::whole_number<std::uint64_t>(message.at("id"));
             answer = decode_owner_answer(message);
         } catch (const std::exception& failure) {
             // The query that it answers expires, and the store is read instead.
@@ -210,7 +210,7 @@
             answer.phase = messages::decode_phase(message.at("phase"));
         }
         if (message.contains("count")) {
-            answer.count = messages::decode_unsigned<std::size_t>(message.at("count"));
+            answer.count = json_input::whole_number<std::size_t>(message.at("count"));
         }
         return answer;
     }
@@ -238,15 +238,17 @@
 
     void receive(const std::shared_ptr<eventio::message_link>& from, const std::string& text) {
         try {
-            const auto message = json::parse(text);
+            const auto message = json_input::parse(text);
             if (message.at("t").get<std::string>() == "hello") {
-                connected_entries[from] = millicores(message.at("processors").get<std::int64_t>());
+                connected_entries[from] = json_input::amount<millicores>(message.at("processors"));
                 update_max_peer_processors();
                 return;
             }
             from->send(messages::dump(answer_query(message)));
         } catch (const json::exception& failure) {
             log_event(log_level::error, "message_unreadable", {{"message", failure.what()}});
+        } catch (const error& failure) {
+            log_event(log_level::error, "message_unreadable", {{"message", failure.what()}});
         }
     }
 
@@ -260,7 +262,8 @@
 
     json answer_query(const json& query) {
         json out{{"known", false}};
-        out["id"] = query.value("id", std::uint64_t{0});
+        out["id"] =
+            query.contains("id") ? json_input::whole_number<std::uint64_t>(query.at("id")) : 0;
         if (!session || !session->is_loaded()) {
             return out;
         }
--- a/libs/dispatch_node/src/messages.cpp
+++ b/libs/dispatch_node/src/messages.cpp
@@ -6,12 +6,7 @@
 
 template <class Enum>
 Enum decode_enum(const json& in, Enum last) {
-    const auto number = in.get<int>();
-    if (number < 0 || number > static_cast<int>(last)) {
-        throw error(result_code::malformed_request,
-                    "number out of range: got " + std::to_string(number) + ", expected 0 to " +
-                        std::to_string(static_cast<int>(last)));
-    }
+    const auto number = json_input::whole_number<int>(in, 0, static_cast<int>(last));
     return static_cast<Enum>(number);
 }
 
@@ -20,19 +15,45 @@
 }
 
 resources decode_resources(const json& in) {
-    return {millicores(in.at(0).get<std::int64_t>()), mebibytes(in.at(1).get<std::int64_t>()),
-            accelerator_count(in.at(2).get<std::int64_t>())};
+    return {json_input::amount<millicores>(in.at(0)), json_input::amount<mebibytes>(in.at(1)),
+            json_input::amount<accelerator_count>(in.at(2))};
 }
 
 }  // namespace
 
+run_number decode_run(const json& in) {
+    return run_number(json_input::whole_number<std::uint32_t>(in, 0, json_input::max_runs));
+}
+
+executor_incarnation decode_incarnation(const json& in) {
+    return executor_incarnation(
+        json_input::whole_number<std::int64_t>(in, 0, json_input::max_time_ms));
+}
+
+epoch_number decode_claim_epoch(const json& in) {
+    return epoch_number(
+        json_input::whole_number<std::uint64_t>(in, 0, json_input::max_claim_epoch));
+}
+
+instant decode_instant(const json& in) {
+    constexpr std::int64_t ns_per_ms = 1'000'000;
+    return instant(std::chrono::nanoseconds(
+        json_input::whole_number<std::int64_t>(in, 0, json_input::max_time_ms * ns_per_ms)));
+}
+
+completion_number decode_completion(const json& in) {
+    return completion_number(
+        json_input::whole_number<std::uint64_t>(in, 0, json_input::max_time_ms));
+}
+
 json encode(const task_key& task) {
     return {task.job.value(), task.occurrence, task.step, task.index};
 }
 
 task_key decode_task(const json& in) {
-    return {job_id(in.at(0).get<std::string>()), decode_unsigned<std::uint32_t>(in.at(1)),
-            decode_unsigned<std::uint32_t>(in.at(2)), decode_unsigned<std::uint32_t>(in.at(3))};
+    return {job_id(in.at(0).get<std::string>()), json_input::whole_number<std::uint32_t>(in.at(1)),
+            json_input::whole_number<std::uint32_t>(in.at(2)),
+            json_input::whole_number<std::uint32_t>(in.at(3))};
 }
 
 json encode(const task_traits& traits) {
@@ -40,10 +61,20 @@
 }
 
 task_traits decode_traits(const json& in) {
-    return {in.at(0).get<std::string>(), milliseconds(in.at(1).get<std::int64_t>()),
-            millicores(in.at(2).get<std::int64_t>()), in.at(3).get<bool>()};
+    return {in.at(0).get<std::string>(), json_input::duration(in.at(1)),
+            json_input::amount<millicores>(in.at(2)), in.at(3).get<bool>()};
+}
+
+namespace {
+
+// The sum over the tasks of an image on one instance.
+millicores decode_sum(const json& in) {
+    return millicores(json_input::whole_number<std::int64_t>(
+        in, 0, json_input::max_amount * std::int64_t{max_tasks_per_job}));
 }
 
+}  // namespace
+
 json encode(const interference_sample& sample) {
     json serving = json::array();
     for (const auto& task : sample.serving_tasks) {
@@ -58,16 +89,15 @@
 
 interference_sample decode_sample(const json& in) {
     interference_sample sample;
-    sample.capacity = millicores(in.at(0).get<std::int64_t>());
-    for (const auto& task : in.at(1)) {
+    sample.capacity = json_input::amount<millicores>(in.at(0));
+    for (const auto& task : json_input::list(in.at(1))) {
         sample.serving_tasks.push_back({task.at(0).get<std::string>(),
-                                        milliseconds(task.at(1).get<std::int64_t>()),
-                                        milliseconds(task.at(2).get<std::int64_t>())});
+                                        json_input::duration(task.at(1)),
+                                        json_input::duration(task.at(2))});
     }
-    for (const auto& filler : in.at(2)) {
-        sample.fillers.push_back({filler.at(0).get<std::string>(),
-                                  millicores(filler.at(1).get<std::int64_t>()),
-                                  millicores(filler.at(2).get<std::int64_t>())});
+    for (const auto& filler : json_input::list(in.at(2))) {
+        sample.fillers.push_back(
+            {filler.at(0).get<std::string>(), decode_sum(filler.at(1)), decode_sum(filler.at(2))});
     }
     return sample;
 }
@@ -86,11 +116,11 @@
 start_order decode_start(const json& in) {
     start_order order;
     order.task = decode_task(in.at("task"));
-    order.run = run_number(decode_unsigned<std::uint32_t>(in.at("run")));
+    order.run = decode_run(in.at("run"));
     order.payload = in.at("payload").get<std::string>();
     order.checkpoint = in.at("checkpoint").get<std::string>();
     order.permit = in.at("permit").get<std::string>();
-    order.incarnation = executor_incarnation(in.at("life").get<std::int64_t>());
+    order.incarnation = decode_incarnation(in.at("life"));
     order.traits = decode_traits(in.at("traits"));
     // Owners of earlier versions do not send it.
     if (in.contains("capacity")) {
@@ -112,7 +142,7 @@
 executor_info decode_executor(const json& in) {
     executor_info info;
     info.id = executor_id(in.at("id").get<std::string>());
-    info.incarnation = executor_incarnation(in.at("life").get<std::int64_t>());
+    info.incarnation = decode_incarnation(in.at("life"));
     info.service = service_id(in.at("service").get<std::string>());
     info.domain = failure_domain_id(in.at("domain").get<std::string>());
     info.capacity = decode_resources(in.at("capacity"));
@@ -126,8 +156,8 @@
 }
 
 running_task decode_running(const json& in) {
-    return {decode_task(in.at(0)), run_number(decode_unsigned<std::uint32_t>(in.at(1))),
-            in.at(2).get<std::string>(), in.at(3).get<int>(), in.at(4).get<std::int64_t>()};
+    return {decode_task(in.at(0)), decode_run(in.at(1)), in.at(2).get<std::string>(),
+            json_input::percent(in.at(3)), json_input::measurement(in.at(4))};
 }
 
 json encode(const finished_task& finished_run) {
@@ -136,8 +166,7 @@
 }
 
 finished_task decode_finished(const json& in) {
-    return {completion_number(decode_unsigned<std::uint64_t>(in.at(0))), decode_task(in.at(1)),
-            run_number(decode_unsigned<std::uint32_t>(in.at(2))),
+    return {decode_completion(in.at(0)), decode_task(in.at(1)), decode_run(in.at(2)),
             decode_enum(in.at(3), run_outcome::gang_incomplete), in.at(4).get<std::string>()};
 }
 
@@ -154,13 +183,12 @@
 }
 
 run_age decode_run_age(const json& in) {
-    return {decode_task(in.at(0)), run_number(decode_unsigned<std::uint32_t>(in.at(1))),
-            milliseconds(in.at(2).get<std::int64_t>())};
+    return {decode_task(in.at(0)), decode_run(in.at(1)), json_input::duration(in.at(2))};
 }
 
 std::vector<run_age> decode_run_ages(const json& message) {
     std::vector<run_age> ages;
-    for (const auto& age : message.value("ages", json::array())) {
+    for (const auto& age : json_input::list_or_empty(message, "ages")) {
         ages.push_back(decode_run_age(age));
     }
     return ages;
@@ -179,8 +207,7 @@
 }
 
 executor_end decode_end(const json& in) {
-    return {executor_incarnation(in.at("life").get<std::int64_t>()), in.at("draining").get<bool>(),
-            decode_run_ages(in)};
+    return {decode_incarnation(in.at("life")), in.at("draining").get<bool>(), decode_run_ages(in)};
 }
 
 }  // namespace
@@ -215,10 +242,10 @@
         found.ended = decode_end(in.at("ended"));
     }
     found.is_vacant = in.value("vacant", false);
-    for (const auto& run : in.at("running")) {
+    for (const auto& run : json_input::list(in.at("running"))) {
         found.running.push_back(decode_running(run));
     }
-    for (const auto& finished_run : in.at("finished")) {
+    for (const auto& finished_run : json_input::list(in.at("finished"))) {
         found.finished.push_back(decode_finished(finished_run));
     }
     return found;
@@ -236,9 +263,9 @@
 
 interference_model::pressure_table decode_pressures(const json& in) {
     interference_model::pressure_table pressures;
-    for (const auto& pair : in) {
+    for (const auto& pair : json_input::list(in)) {
         pressures[pair.at(0).get<std::string>()][pair.at(1).get<std::string>()] =
-            pair.at(2).get<double>();
+            json_input::factor(pair.at(2));
     }
     return pressures;
 }
--- a/libs/dispatch_node/src/messages.hpp
+++ b/libs/dispatch_node/src/messages.hpp
@@ -2,12 +2,10 @@
 
 // Messages between entries and agents: JSON objects whose field "t" names the kind.
 
-#include <concepts>
-#include <cstdint>
 #include <nlohmann/json.hpp>
-#include <utility>
 
 #include "tanagerpaddle/dispatch.hpp"
+#include "tanagerpaddle/json_input.hpp"
 
 namespace tanagerpaddle::dispatch::messages {
 
@@ -27,17 +25,15 @@
 [[nodiscard]] json encode(const inventory& found);
 [[nodiscard]] json encode(const interference_model::pressure_table& pressures);
 
-// A number that fits into T. Without the check a negative epoch would become the highest one, and
-// an agent that took it would refuse every later owner. Throws nlohmann::json::exception or
-// error(malformed_request).
-template <std::unsigned_integral T>
-[[nodiscard]] T decode_unsigned(const json& in) {
-    const auto value = in.get<std::int64_t>();
-    if (!in.is_number_integer() || value < 0 || !std::in_range<T>(value)) {
-        throw error(result_code::malformed_request, "number out of range: " + in.dump());
-    }
-    return static_cast<T>(value);
-}
+// Throw nlohmann::json::exception or error(malformed_request).
+[[nodiscard]] run_number decode_run(const json& in);
+[[nodiscard]] executor_incarnation decode_incarnation(const json& in);
+// A higher one would have to be refused later, and until then an agent that took it would refuse
+// every later owner.
+[[nodiscard]] epoch_number decode_claim_epoch(const json& in);
+[[nodiscard]] completion_number decode_completion(const json& in);
+// A time of the agent's clock in nanoseconds.
+[[nodiscard]] instant decode_instant(const json& in);
 
 // Each throws nlohmann::json::exception or error(malformed_request) if the value is malformed.
 [[nodiscard]] task_key decode_task(const json& in);
--- a/libs/dispatch_node/src/owner_links.cpp
+++ b/libs/dispatch_node/src/owner_links.cpp
@@ -88,7 +88,7 @@
 
 void owner_session::receive(const instance_name& instance, const std::string& text) {
     try {
-        handle(instance, json::parse(text));
+        handle(instance, json_input::parse(text));
     } catch (const invariant_violation&) {
         throw;
     } catch (const std::exception& failure) {
@@ -104,17 +104,12 @@
     agent.last_message_at = env_.time->now();
     const auto kind = message.at("t").get<std::string>();
     const auto task = [&] { return messages::decode_task(message.at("task")); };
-    const auto run = [&] {
-        return run_number(messages::decode_unsigned<std::uint32_t>(message.at("run")));
-    };
-    const auto incarnation = [&] {
-        return executor_incarnation(message.at("life").get<std::int64_t>());
-    };
+    const auto run = [&] { return messages::decode_run(message.at("run")); };
+    const auto incarnation = [&] { return messages::decode_incarnation(message.at("life")); };
     if (kind == "inventory") {
         on_inventory(instance, agent, message);
     } else if (kind == "superseded") {
-        const auto newer = owner_epoch(
-            epoch_number(messages::decode_unsigned<std::uint64_t>(message.at("epoch"))));
+        const auto newer = owner_epoch(messages::decode_claim_epoch(message.at("epoch")));
         log_event(
             log_level::warning, "superseded",
             {{"agent", instance.value()}, {"epoch", epoch_.value()}, {"newer", newer.value()}});
@@ -140,7 +135,7 @@
         coordinator_.stop_confirmed(instance, task(), run());
     } else if (kind == "ends") {
         std::vector<finished_task> finished_runs;
-        for (const auto& row : message.at("ends")) {
+        for (const auto& row : json_input::list(message.at("ends"))) {
             finished_runs.push_back(messages::decode_finished(row));
             log_event(log_level::info, "run_ended",
                       {{"task", to_string(finished_runs.back().task)},
@@ -191,14 +186,15 @@
 
 void owner_session::on_heartbeat(const instance_name& instance, agent_link& agent,
                                  const json& message) {
+    const auto sent_at = messages::decode_instant(message.at("at"));
     std::vector<running_task> running;
-    for (const auto& run : message.at("running")) {
+    for (const auto& run : json_input::list(message.at("running"))) {
         running.push_back(messages::decode_running(run));
     }
     // Agents of earlier versions do not send the number.
     std::optional<std::uint64_t> view_count;
     if (message.contains("views")) {
-        view_count = messages::decode_unsigned<std::uint64_t>(message.at("views"));
+        view_count = json_input::whole_number<std::uint64_t>(message.at("views"));
     }
     const bool has_new_view = !view_count || view_count != agent.view_count;
     agent.view_count = view_count;
@@ -206,7 +202,7 @@
                                    has_new_view);
     if (may_grant() && coordinator_.has_executor(instance)) {
         agent.runs_end_by = env_.time->now() + env_.timing.expiry_delay();
-        send(instance, {{"t", "grant"}, {"at", message.at("at")}});
+        send(instance, {{"t", "grant"}, {"at", sent_at.time_since_epoch().count()}});
     }
 }
 
--- a/libs/dispatch_node/src/owner_record.cpp
+++ b/libs/dispatch_node/src/owner_record.cpp
@@ -1,6 +1,7 @@
 #include <nlohmann/json.hpp>
 
 #include "ownership.hpp"
+#include "tanagerpaddle/json_input.hpp"
 
 namespace tanagerpaddle::dispatch {
 
@@ -21,23 +22,29 @@
 }
 
 std::optional<owner_record> decode_owner(std::string_view text) {
-    const auto in = nlohmann::json::parse(text, nullptr, false);
-    // Entries of earlier versions do not write all times.
-    const auto time_at = [&](const char* key) -> std::optional<store_instant> {
-        if (!in.contains(key)) {
-            return std::nullopt;
-        }
-        return store_instant(milliseconds(in.at(key).get<milliseconds::rep>()));
-    };
     try {
-        owner_record record{in.at("name"),     in.at("life"),
-                            in.at("address"),  epoch_number(in.at("epoch").get<std::uint64_t>()),
-                            in.at("released"), millicores(in.at("strongest").get<std::int64_t>())};
+        const auto in = json_input::parse(text);
+        // Entries of earlier versions do not write all times.
+        const auto time_at = [&](const char* key) -> std::optional<store_instant> {
+            if (!in.contains(key)) {
+                return std::nullopt;
+            }
+            return store_instant(milliseconds(json_input::time_ms(in.at(key))));
+        };
+        owner_record record{in.at("name"),
+                            in.at("life"),
+                            in.at("address"),
+                            epoch_number(json_input::whole_number<std::uint64_t>(
+                                in.at("epoch"), 0, json_input::max_owner_epoch)),
+                            in.at("released"),
+                            json_input::amount<millicores>(in.at("strongest"))};
         record.sent_by = time_at("sent_by");
         record.earlier_grants_end_by = time_at("earlier_grants_end_by");
         return record;
     } catch (const nlohmann::json::exception&) {
         return std::nullopt;
+    } catch (const error&) {
+        return std::nullopt;
     }
 }
 
