--- a/libs/dispatch_node/src/owner_session.cpp
+++ b/libs/dispatch_node/src/owner_session.cpp
@@ -260,7 +260,7 @@
 }
 
 void owner_session::add_recorded_end(const instance_name& name, const std::string& value) {
-    const auto end = messages::decode_executor_end(json::parse(value));
+    const auto end = messages::decode_executor_end(json_input::parse(value));
     log_event(log_level::info, "executor_end_read",
               {{"agent", name.value()}, {"lifetime", end.incarnation.value()}});
     coordinator_.executor_end_recorded(name, end);
