dispatch_node: an owner's row that cannot be read does not set the epochs back

Cause: an entry that could not read the owner's row took the ownership with epoch 1. Agents and executors that know a higher epoch refuse its claims. Before the change (odd_owner_row_test, four odd rows after a sound one of epoch 40): CHECK( epochs == {41} ) failed 4 of 4 times. Change: an entry takes the epoch after the highest that it has read. The unreadable row is logged. Result: the epochs are 41 in all four cases.

--- a/libs/dispatch_node/src/ownership.cpp
+++ b/libs/dispatch_node/src/ownership.cpp
@@ -78,6 +78,12 @@
         if (!is_new) {
             return;
         }
+        if (record) {
+            highest_epoch = std::max(highest_epoch, record->epoch);
+        } else if (row.version != row_version(0)) {
+            log_event(log_level::error, "owner_row_unreadable",
+                      {{"row_version", row.version.value()}});
+        }
         has_observed = true;
         set_version(row.version);
         changed_at = time.now();
@@ -213,7 +219,7 @@
         next.incarnation = local_entry.incarnation;
         next.address = to_string(local_entry.messages);
         next.max_processors = local_entry.processors;
-        next.epoch = record ? record->epoch.next() : epoch_number(1);
+        next.epoch = highest_epoch.next();
         const instant request_sent_at = begin_attempt(next);
         store.transact(
             transaction_for(next, {}), store_timeout,
@@ -249,6 +255,7 @@
             return;
         }
         record = next;
+        highest_epoch = next.epoch;
         is_owner = true;
         may_be_released = false;
         gained_at = time.now();
@@ -378,6 +385,9 @@
     events handlers;
     std::optional<owner_record> record;
     row_version version;
+    // Of the owners seen so far. A row that cannot be read tells none, and agents refuse the claims
+    // of a lower one.
+    epoch_number highest_epoch;
     // Send time of the first write that is conditional on `version`.
     std::optional<instant> first_attempt_at;
     instant renewed_at;
