dispatch_node: an owner's row that cannot be read may hide an owner that still grants leases

Cause: an unreadable row counted as no earlier owner, so that the new owner took all earlier leases for ended at once and could start runs anew which still run. Before the change (odd_owner_row_test): CHECK( waits[0] > max_renewal_without_store - 1'000 ms ) failed 4 of 4 times, values 0ms > 6000ms. Change: an unreadable row counts as that of an unknown owner that has written until it was replaced. Result: odd_owner_row_test 12 of 12 assertions; ownership_test 95 of 95, before and after.

--- a/libs/dispatch_node/src/ownership.cpp
+++ b/libs/dispatch_node/src/ownership.cpp
@@ -90,7 +90,9 @@
         is_suspected = false;
         // An own record is that of an acquisition whose answer was lost.
         if (!record || !is_own(*record)) {
-            previous = record;
+            // A row that cannot be read may hide an owner that has renewed until it was replaced.
+            const bool is_unreadable = !record && row.version != row_version(0);
+            previous = is_unreadable ? std::optional(owner_record{}) : record;
             previous_unchanged_since = time.now();
         }
     }
