dispatch_node: a grant of a heartbeat that was not sent extends no lease

Cause: an agent took the time in a grant as it came. One in the future extended its lease for as long, and no later grant shortens it. Before the change (odd_grant_test, one hour ahead): CHECK( is_closed == closes ) is NOT correct! values: CHECK( false == true ) Change: such a grant counts as a malformed message and ends the link. Result: odd_grant_test 9 of 9 assertions; malformed_messages, grants_after_release and heartbeat tests: [doctest] assertions: 348 | 348 passed | 0 failed |

--- a/libs/dispatch_node/src/agent_node.cpp
+++ b/libs/dispatch_node/src/agent_node.cpp
@@ -118,6 +118,10 @@
                              messages::decode_completion(message.at("number")));
         } else if (kind == "grant") {
             const auto sent_at = messages::decode_instant(message.at("at"));
+            if (sent_at > time.now()) {
+                throw error(result_code::malformed_request,
+                            "grant of a heartbeat that has not been sent");
+            }
             core.lease_granted(sent_at + options.timing.lease_duration);
         } else if (kind == "describe") {
             core.set_traits(messages::decode_task(message.at("task")),
