dispatch_node: a claim bounds how long runs count before the first grant

Change: with each inventory the runs of the agent end one lease later at the latest: it takes no grants of other owners or earlier links any more. The test's agent answers the claim only; before, it answered each message and so measured from a later one. Its bounds are the same.

--- a/libs/dispatch_node/src/owner_links.cpp
+++ b/libs/dispatch_node/src/owner_links.cpp
@@ -165,6 +165,8 @@
                                  const json& message) {
     const auto found = messages::decode_inventory(message);
     agent.is_claimed = true;
+    // The agent takes no grants of other owners or earlier links any more.
+    agent.runs_end_by = std::min(agent.runs_end_by, env_.time->now() + env_.timing.expiry_delay());
     log_event(log_level::info, "agent_claimed",
               {{"agent", instance.value()},
                {"has_executor", found.executor.has_value()},
--- a/libs/dispatch_node/tests/ungranted_claim_test.cpp
+++ b/libs/dispatch_node/tests/ungranted_claim_test.cpp
@@ -43,6 +43,9 @@
     std::unique_ptr<eventio::message_server> agent = std::make_unique<eventio::message_server>(
         loop, local_endpoint(2), [&](const std::shared_ptr<eventio::message_link>& link) {
             return eventio::link_handlers{[&, link](const std::string&) {
+                                              if (claimed_at) {
+                                                  return;  // only the claim is answered
+                                              }
                                               link->send(messages::dump(messages::encode(found)));
                                               claimed_at = time.now();
                                               loop.after(milliseconds(50), [&, link] {
