dispatch_node: times before the origin of the store's clock are sound

Cause: refuses negative times in the owner's row, so that the row counts as unreadable. The store's clock is steady and its origin is not stated; the store of the tests is behind the machine's by 1,000 s, so that tests would fail within 17 minutes of the machine's start. Change: times of that clock may be negative, within the same bound.

--- a/libs/dispatch_node/src/owner_record.cpp
+++ b/libs/dispatch_node/src/owner_record.cpp
@@ -29,7 +29,9 @@
             if (!in.contains(key)) {
                 return std::nullopt;
             }
-            return store_instant(milliseconds(json_input::time_ms(in.at(key))));
+            // The store's clock may have any origin.
+            return store_instant(milliseconds(json_input::whole_number<std::int64_t>(
+                in.at(key), -json_input::max_time_ms, json_input::max_time_ms)));
         };
         owner_record record{in.at("name"),
                             in.at("life"),
--- a/libs/dispatch_node/tests/odd_owner_row_test.cpp
+++ b/libs/dispatch_node/tests/odd_owner_row_test.cpp
@@ -9,6 +9,18 @@
 using namespace tanagerpaddle::dispatch;
 using namespace tanagerpaddle::dispatch::testing;
 
+// Guards against a sound row that counts as unreadable shortly after the start of the store's
+// clock.
+TEST_CASE("an owner's row keeps times before the origin of the store's clock") {
+    owner_record record{"other", "life", "127.0.0.1:1", epoch_number(40), false, millicores(1'000)};
+    record.sent_by = store_instant(milliseconds(-700'000));
+    record.earlier_grants_end_by = store_instant(milliseconds(-1));
+    const auto decoded = decode_owner(encode(record));
+    REQUIRE(decoded.has_value());
+    CHECK(decoded->sent_by == record.sent_by);
+    CHECK(decoded->earlier_grants_end_by == record.earlier_grants_end_by);
+}
+
 // Guards against a new owner whose claims all agents refuse, since they know a higher epoch, or
 // that starts runs anew while the earlier owner may still grant leases to them.
 TEST_CASE("the owner after a row that cannot be read has the next epoch, and awaits old grants") {
