--- a/review/standin/executor.cpp
+++ b/review/standin/executor.cpp
@@ -26,6 +26,7 @@
         begun_at_ = now_ms();
         born_ = unix_ms();
         sequence_ = 0;
+        has_failed_ = false;
         is_alive_ = true;
     }
     log_.line("executor " + options_.name + " starts as " + id);
@@ -57,6 +58,16 @@
     }
 }
 
+void executor::fail_at_start_of(const std::string& prefix) {
+    const std::lock_guard lock(mutex_);
+    fails_at_ = prefix;
+}
+
+bool executor::has_failed() const {
+    const std::lock_guard lock(mutex_);
+    return has_failed_;
+}
+
 std::size_t executor::running_count() const {
     const std::lock_guard lock(mutex_);
     return running_.size();
@@ -143,7 +154,7 @@
 
 http_response executor::answer(const http_request& request) {
     std::unique_lock lock(mutex_);
-    if (!is_alive_) {
+    if (!is_alive_ || has_failed_) {
         return {0, ""};
     }
     const auto intended = request.headers.find("expected-instance");
@@ -188,6 +199,13 @@
     if (running != running_.end() && running->second.number == number) {
         return reply(200);
     }
+    if (!fails_at_.empty() && task.rfind(fails_at_, 0) == 0) {
+        log_.line("executor " + options_.name + " fails before it carries out the start of " +
+                  task + " #" + std::to_string(number));
+        fails_at_.clear();
+        has_failed_ = true;
+        return {0, ""};
+    }
     if (body.value("deadlineMs", std::int64_t{0}) <= clock_ms()) {
         return reply(409, {{"reason", "late"}});
     }
--- a/review/standin/executor.hpp
+++ b/review/standin/executor.hpp
@@ -43,6 +43,10 @@
 
     // Begins a new life; `first_report_ms` is the time until its first status report.
     void start(const std::string& id, std::int64_t first_report_ms = 0);
+    // The next start of a task whose name begins with `prefix` is not carried out: the executor
+    // falls silent, and is to be crashed by the caller. Unset by that.
+    void fail_at_start_of(const std::string& prefix);
+    [[nodiscard]] bool has_failed() const;
     // Ends the life at once: everything that runs is gone, and its connections are closed.
     void crash();
 
@@ -99,6 +103,8 @@
     std::int64_t begun_at_ = 0;
     std::int64_t born_ = 0;
     std::int64_t sequence_ = 0;
+    std::string fails_at_;
+    bool has_failed_ = false;
     bool is_alive_ = false;
     std::unique_ptr<http_server> server_;
     std::thread ticker_;
