dispatch_node: log lists of another lifetime and requests for permits

Change: events lists_of_another_lifetime, permits_requested and permits_granted; executor_reported names the service. No change of logic.

--- a/libs/dispatch_node/src/agent_node.cpp
+++ b/libs/dispatch_node/src/agent_node.cpp
@@ -228,6 +228,17 @@
                       });
     }
 
+    void log_other_life(const executor_view& view) const {
+        if (core.executor() && core.executor()->incarnation != view.incarnation) {
+            log_event(log_level::warning, "lists_of_another_lifetime",
+                      {{"executor", core.executor()->id.value()},
+                       {"known_lifetime", core.executor()->incarnation.value()},
+                       {"listed_lifetime", view.incarnation.value()},
+                       {"running", view.running.size()},
+                       {"finished", view.finished.size()}});
+        }
+    }
+
     void on_synced(instant request_sent_at, epoch_number epoch, const sync_result& result) {
         const instant now = time.now();
         bool needs_delay = true;
@@ -240,6 +251,7 @@
             view.requested_at = request_sent_at;
             view.epoch = epoch;
             has_new_completions = false;
+            log_other_life(view);
             try {
                 if (core.executor_view_received(view)) {
                     send(messages::encode(core.current_inventory()));
@@ -392,7 +404,9 @@
     if (is_new_incarnation) {
         state_->has_executor_clock = false;
         log_event(log_level::info, "executor_reported",
-                  {{"executor", info.id.value()}, {"lifetime", info.incarnation.value()}});
+                  {{"executor", info.id.value()},
+                   {"lifetime", info.incarnation.value()},
+                   {"service", info.service.value()}});
     }
     if (state_->core.executor_reported(info)) {
         state_->send({{"t", "executor"}, {"executor", messages::encode(*state_->core.executor())}});
--- a/libs/dispatch_node/src/owner_session.cpp
+++ b/libs/dispatch_node/src/owner_session.cpp
@@ -314,6 +314,12 @@
         log_event(log_level::error, "no_policy_service", {{"job", step.job.value()}});
         return;
     }
+    log_event(log_level::info, "permits_requested",
+              {{"job", step.job.value()},
+               {"step", step.step},
+               {"executors", executors.size()},
+               {"first", executors.front().value()},
+               {"last", executors.back().value()}});
     const instant request_sent_at = env_.time->now();
     env_.policies->request_permits(
         step, executors,
@@ -323,6 +329,11 @@
                 return;
             }
             if (permits) {
+                log_event(log_level::info, "permits_granted",
+                          {{"job", step.job.value()},
+                           {"step", step.step},
+                           {"executors", permits->size()},
+                           {"valid_ms", valid_for}});
                 self->coordinator_.permits_granted(step, *permits, request_sent_at + valid_for);
             } else {
                 log_event(log_level::warning, "advice_failed", {{"job", step.job.value()}});
