--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -720,11 +720,16 @@
     [[nodiscard]] instant lease_expires_at() const noexcept { return granted_until_; }
 
     // --- executor ------------------------------------------------------------------------------
-    // Returns true if the coordinator must be notified of a change. Reports of earlier incarnations
-    // are ignored.
+    // A report describes an incarnation, and anyone may send one; only the lists tell which
+    // incarnation the executor has. A report of another one is kept until they do. Returns true if
+    // the coordinator must be notified of a change.
     bool executor_reported(const executor_info& info);
-    // Returns true if the coordinator must get an inventory: this is the first view of this
-    // incarnation under the current claim, or the view of a newer executor than the known one.
+    // True if the report names the incarnation of the executor's lists but another id or service:
+    // it comes from another writer and is ignored.
+    [[nodiscard]] bool contradicts_lists(const executor_info& info) const;
+    // Views must be delivered in the order in which they were requested. Returns true if the
+    // coordinator must get an inventory: this is the first view of a reported executor under the
+    // current claim, or it shows that the known executor has ended.
     bool executor_view_received(const executor_view& view);
     // The executor's port refuses connections: none of the instance is alive. Returns true if the
     // coordinator must get an inventory, since this was not known.
@@ -759,7 +764,10 @@
     using run_key = std::pair<task_key, run_number>;
 
     void reset_executor_state();
-    void record_end();
+    void keep_report(const executor_info& info);
+    [[nodiscard]] std::optional<executor_info> kept_report(executor_incarnation incarnation) const;
+    void begin_incarnation(executor_incarnation incarnation);
+    void record_end(executor_incarnation incarnation);
     // The known executor has been replaced or is gone.
     void end_executor();
     void update_sample();
@@ -779,7 +787,12 @@
     agent_orders& orders_;
     epoch_number epoch_;
     instant granted_until_;
+    // The incarnation that the executor's lists name, and its report. Before any lists were read,
+    // the latest report.
+    std::optional<executor_incarnation> listed_incarnation_;
     std::optional<executor_info> executor_;
+    // The latest report of each of the incarnations that have reported last, in order of arrival.
+    std::vector<executor_info> reports_;
     std::optional<executor_end> last_end_;
     bool is_vacant_ = false;
     // The lists of this incarnation have been read under the current epoch: the executor refuses
--- a/libs/dispatch/src/agent.cpp
+++ b/libs/dispatch/src/agent.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <cstdlib>
+#include <utility>
 
 #include "tanagerpaddle/dispatch.hpp"
 
@@ -16,6 +17,8 @@
 constexpr milliseconds max_stop_time{1'000};
 // Smaller changes of the pace do not justify a call to the executor.
 constexpr int min_pace_change_percent = 8;
+// Reports of incarnations that the executor's lists may name next.
+constexpr std::size_t max_kept_reports = 8;
 
 bool contains(const std::vector<running_task>& runs, const std::pair<task_key, run_number>& key) {
     return std::any_of(runs.begin(), runs.end(), [&](const running_task& run) {
@@ -160,40 +163,80 @@
     reported_completion_ = completion_number(0);
 }
 
+bool agent::contradicts_lists(const executor_info& info) const {
+    return listed_incarnation_ == info.incarnation && executor_ &&
+           (executor_->id != info.id || executor_->service != info.service);
+}
+
+void agent::keep_report(const executor_info& info) {
+    const auto known = std::find_if(
+        reports_.begin(), reports_.end(),
+        [&](const executor_info& each) { return each.incarnation == info.incarnation; });
+    // A delayed report does not end a drain.
+    const bool was_draining =
+        (known != reports_.end() && known->is_draining) ||
+        (executor_ && executor_->incarnation == info.incarnation && executor_->is_draining);
+    if (known != reports_.end()) {
+        reports_.erase(known);
+    } else if (reports_.size() == max_kept_reports) {
+        reports_.erase(reports_.begin());
+    }
+    reports_.push_back(info);
+    reports_.back().is_draining = was_draining || info.is_draining;
+}
+
+std::optional<executor_info> agent::kept_report(executor_incarnation incarnation) const {
+    const auto found =
+        std::find_if(reports_.begin(), reports_.end(),
+                     [&](const executor_info& each) { return each.incarnation == incarnation; });
+    return found == reports_.end() ? std::nullopt : std::optional(*found);
+}
+
 bool agent::executor_reported(const executor_info& info) {
-    if (executor_ && info.incarnation < executor_->incarnation) {
+    if (contradicts_lists(info)) {
         return false;
     }
-    if (!executor_ || executor_->incarnation != info.incarnation) {
-        record_end();
-        reset_executor_state();
-        executor_ = info;
-        is_vacant_ = false;
-        return false;  // the first view brings an inventory
-    }
-    const bool was_draining = executor_->is_draining;
-    const bool has_changed = executor_->capacity != info.capacity ||
-                             executor_->labels != info.labels || executor_->domain != info.domain ||
-                             executor_->service != info.service ||
-                             (info.is_draining && !was_draining);
-    executor_ = info;
-    // A delayed report does not end a drain.
-    executor_->is_draining = was_draining || info.is_draining;
+    keep_report(info);
+    if (!listed_incarnation_) {
+        if (!executor_ || executor_->incarnation <= info.incarnation) {
+            executor_ = kept_report(info.incarnation);
+            is_vacant_ = false;
+        }
+        return false;
+    }
+    if (*listed_incarnation_ != info.incarnation) {
+        return false;
+    }
+    const auto earlier = std::exchange(executor_, kept_report(info.incarnation));
+    if (!earlier) {
+        return false;  // the next view brings an inventory
+    }
+    const bool has_changed = earlier->capacity != info.capacity || earlier->labels != info.labels ||
+                             earlier->domain != info.domain ||
+                             executor_->is_draining != earlier->is_draining;
     return has_changed && has_view_;
 }
 
+void agent::begin_incarnation(executor_incarnation incarnation) {
+    if (listed_incarnation_) {
+        end_executor();
+    }
+    listed_incarnation_ = incarnation;
+    executor_ = kept_report(incarnation);
+}
+
 bool agent::executor_view_received(const executor_view& view) {
     is_vacant_ = false;
-    if (executor_ && executor_->incarnation < view.incarnation) {
-        end_executor();  // a new incarnation, not reported yet
-        return true;
-    }
-    if (!executor_ || executor_->incarnation != view.incarnation || view.epoch != epoch_) {
-        return false;
+    const bool has_ended = listed_incarnation_ && *listed_incarnation_ != view.incarnation;
+    if (listed_incarnation_ != view.incarnation) {
+        begin_incarnation(view.incarnation);
     }
     if (last_end_ && last_end_->incarnation >= view.incarnation) {
         last_end_.reset();  // it is alive
     }
+    if (!executor_ || view.epoch != epoch_) {
+        return has_ended;
+    }
     const bool is_first = !has_view_;
     has_view_ = true;
     ++view_count_;
@@ -271,32 +314,32 @@
 }
 
 bool agent::executor_unreachable() {
-    const bool is_new = executor_ || !is_vacant_;
+    const bool is_new = executor_ || listed_incarnation_ || !is_vacant_;
     is_vacant_ = true;
     end_executor();
     return is_new;
 }
 
-void agent::record_end() {
-    // One that has ended before has only been reported late: a view would have cleared its end.
-    const bool is_new =
-        executor_ && (!last_end_ || last_end_->incarnation < executor_->incarnation);
-    if (is_new) {
-        last_end_ = executor_end{executor_->incarnation, executor_->is_draining, run_ages()};
-    } else if (executor_ && last_end_->incarnation == executor_->incarnation) {
-        last_end_->was_draining = last_end_->was_draining || executor_->is_draining;
+void agent::record_end(executor_incarnation incarnation) {
+    const bool was_draining = executor_ && executor_->is_draining;
+    if (last_end_ && last_end_->incarnation == incarnation) {
+        last_end_->was_draining = last_end_->was_draining || was_draining;
+    } else if (listed_incarnation_ || !last_end_) {
+        // Otherwise a report alone names it: it comes late, or from another writer.
+        last_end_ = executor_end{incarnation, was_draining, run_ages()};
     }
 }
 
 void agent::end_executor() {
-    if (!executor_) {
+    if (!executor_ && !listed_incarnation_) {
         return;
     }
-    record_end();
-    const auto incarnation = executor_->incarnation;
+    const auto incarnation = listed_incarnation_ ? *listed_incarnation_ : executor_->incarnation;
+    record_end(incarnation);
     const auto ages = run_ages();
     reset_executor_state();
     executor_.reset();
+    listed_incarnation_.reset();
     orders_.report_executor_terminated(incarnation, ages);
 }
 
--- a/libs/dispatch/tests/random_faults_test.cpp
+++ b/libs/dispatch/tests/random_faults_test.cpp
@@ -203,3 +203,10 @@
         run_scenario(seed, faults);  // failed before
     }
 }
+
+// Guards against jobs that stand still since a foreign report hides the executor that runs them.
+TEST_CASE("no invariant is violated and all jobs end when other writers report executors") {
+    auto faults = all_faults();
+    faults.foreign_report = 0.3;
+    run_seeds(faults);
+}
--- a/libs/dispatch/tests/world.cpp
+++ b/libs/dispatch/tests/world.cpp
@@ -273,6 +273,7 @@
     void begin_executor(std::size_t index);
     void end_executor(std::size_t index);
     void restart_agent(sim_instance& instance);
+    void report_foreign_executor(sim_instance& instance);
     [[nodiscard]] milliseconds draw(const time_to_crash& when);
     void record_acknowledged(sim_executor& executor, std::uint64_t number);
 
@@ -599,6 +600,18 @@
     instance.calm_since = time.now();
 }
 
+void world::state::report_foreign_executor(sim_instance& instance) {
+    auto info = instance.executor.info;
+    info.id = executor_id("foreign");
+    info.service = service_id("another service");
+    info.incarnation = executor_incarnation(info.incarnation.value() + 1'000);
+    if (instance.core->executor_reported(info)) {
+        to_coordinator(instance, [n = instance.name, info](coordinator& target) {
+            target.executor_changed(n, info);
+        });
+    }
+}
+
 // ---------------------------------------------------------------------------------------------
 // Agents
 
@@ -869,6 +882,9 @@
         if (faults.capacity_change > 0 && random.chance(faults.capacity_change * per_second)) {
             shrink_for_a_while(i);
         }
+        if (faults.foreign_report > 0 && random.chance(faults.foreign_report * per_second)) {
+            report_foreign_executor(instance);
+        }
         if (faults.slow_link > 0 && random.chance(faults.slow_link * per_second)) {
             // Never earlier: messages of a link arrive in the order in which they were sent.
             const auto delay = milliseconds(3'000 + static_cast<std::int64_t>(random.below(2'000)));
--- a/libs/dispatch/tests/world.hpp
+++ b/libs/dispatch/tests/world.hpp
@@ -49,6 +49,8 @@
     double slow_link = 0;
     // Share of executors that report themselves for a while before their port is open.
     double early_report = 0;
+    // Another writer reports an executor of a later incarnation to an agent.
+    double foreign_report = 0;
 };
 
 class world {
--- a/libs/dispatch_node/src/agent_node.cpp
+++ b/libs/dispatch_node/src/agent_node.cpp
@@ -370,6 +370,8 @@
     std::uint64_t sync_sequence = 0;
     bool is_leaving = false;
     int refused_connections = 0;
+    // Of the latest report that was logged.
+    executor_incarnation logged_incarnation;
 };
 
 agent_node::agent_node(eventio::event_loop& loop, const clock& time, row_store& store,
@@ -399,10 +401,17 @@
 }
 
 void agent_node::executor_reported(const executor_info& info) {
-    const bool is_new_incarnation =
-        !state_->core.executor() || state_->core.executor()->incarnation < info.incarnation;
-    if (is_new_incarnation) {
-        state_->has_executor_clock = false;
+    if (state_->core.contradicts_lists(info)) {
+        log_event(log_level::warning, "report_contradicts_lists",
+                  {{"executor", info.id.value()},
+                   {"lifetime", info.incarnation.value()},
+                   {"service", info.service.value()}});
+        return;
+    }
+    const auto& known = state_->core.executor();
+    if ((!known || known->incarnation != info.incarnation) &&
+        state_->logged_incarnation != info.incarnation) {
+        state_->logged_incarnation = info.incarnation;
         log_event(log_level::info, "executor_reported",
                   {{"executor", info.id.value()},
                    {"lifetime", info.incarnation.value()},
