--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -188,6 +188,15 @@
     milliseconds age{0};
 };
 
+// A run that may be alive although the executor for which its start was ordered has ended: the
+// start may have reached, or may yet reach, the executor that took its place under the same id.
+struct unsettled_run {
+    task_key task;
+    run_number run;
+    // The lists of that executor show the run.
+    bool is_listed = false;
+};
+
 // An executor that has ended, as its agent remembers it.
 struct executor_end {
     executor_incarnation incarnation;
@@ -195,6 +204,9 @@
     bool was_draining = false;
     // The runs that it had.
     std::vector<run_age> ages;
+    // Runs that must not start elsewhere until a later inventory of the agent names an executor,
+    // which resolves them, or until their leases have expired.
+    std::vector<unsettled_run> unsettled{};
 };
 
 // What an agent reports to the coordinator that has claimed it. It holds all that the agent knows:
@@ -732,8 +744,11 @@
     // current claim, or it shows that the known executor has ended.
     bool executor_view_received(const executor_view& view);
     // The executor's port refuses connections: none of the instance is alive. Returns true if the
-    // coordinator must get an inventory, since this was not known.
+    // coordinator must get an inventory, since this was not known. Call it only while no start is
+    // open, which the next executor might take.
     bool executor_unreachable();
+    // A start has been sent to the executor and start_answered has not been called for it.
+    [[nodiscard]] bool has_open_starts() const noexcept { return !open_starts_.empty(); }
     void start_answered(const task_key& task, run_number run, start_answer answer);
     void stop_answered(const task_key& task, run_number run, bool is_confirmed);
     [[nodiscard]] const std::optional<executor_info>& executor() const noexcept {
@@ -763,19 +778,20 @@
     };
     using run_key = std::pair<task_key, run_number>;
 
-    void reset_executor_state();
+    void forget_lists();
     void keep_report(const executor_info& info);
     [[nodiscard]] std::optional<executor_info> kept_report(executor_incarnation incarnation) const;
-    void begin_incarnation(executor_incarnation incarnation);
+    void begin_incarnation(const executor_view& view);
     void record_end(executor_incarnation incarnation);
-    // The known executor has been replaced or is gone.
-    void end_executor();
+    void read_lists(const executor_view& view);
+    [[nodiscard]] std::vector<unsettled_run> unsettled_runs() const;
     void update_sample();
     void update_pace();
-    // True if the executor may start a task now.
-    [[nodiscard]] bool accepts_starts() const;
+    // True if the executor that the order is meant for may start a task now.
+    [[nodiscard]] bool accepts(const start_order& order) const;
     // True if the executor's capacity is smaller than the one that the order was sent by.
     [[nodiscard]] bool has_shrunk_since(const start_order& order) const;
+    void send_start(const run_key& key, order_state& state);
     void send_stop(const run_key& key, order_state& state);
     void withdraw_start(const run_key& key);
     void resolve_starts(const executor_view& view);
@@ -801,6 +817,12 @@
     std::uint64_t view_count_ = 0;
     std::map<run_key, order_state> pending_starts_;
     std::map<run_key, order_state> pending_stops_;
+    // Runs whose start has been sent and not been answered. Its connection may be to a later
+    // executor than the one that it is meant for.
+    std::set<run_key> open_starts_;
+    // Runs whose starts an earlier claim left unresolved. The first lists under the current claim
+    // resolve them.
+    std::set<run_key> unresolved_starts_;
     std::map<run_key, running_task> running_;
     // When the executor answered the start of each run, or first listed it, and when it last
     // answered any call.
--- a/libs/dispatch/src/agent.cpp
+++ b/libs/dispatch/src/agent.cpp
@@ -48,6 +48,14 @@
         // orders of the old one would conflict with that.
         epoch_ = epoch;
         has_view_ = false;
+        for (const auto& [key, state] : pending_starts_) {
+            unresolved_starts_.insert(key);
+        }
+        for (const auto& [key, state] : pending_stops_) {
+            if (state.is_withdrawal) {
+                unresolved_starts_.insert(key);
+            }
+        }
         pending_starts_.clear();
         pending_stops_.clear();
     }
@@ -60,6 +68,7 @@
     // set back before.
     if (last_end_ && (!executor_ || last_end_->incarnation < executor_->incarnation)) {
         found.ended = last_end_;
+        found.ended->unsettled = unsettled_runs();
     }
     found.is_vacant = is_vacant_;
     if (!has_view_) {
@@ -75,8 +84,9 @@
     return found;
 }
 
-bool agent::accepts_starts() const {
-    return executor_ && !executor_->is_draining && time_.now() < granted_until_;
+bool agent::accepts(const start_order& order) const {
+    return executor_ && executor_->incarnation == order.incarnation && !executor_->is_draining &&
+           time_.now() < granted_until_;
 }
 
 bool agent::has_shrunk_since(const start_order& order) const {
@@ -87,7 +97,7 @@
     if (epoch != epoch_) {
         return;
     }
-    if (!accepts_starts() || executor_->incarnation != order.incarnation) {
+    if (!accepts(order)) {
         orders_.report_start(order.task, order.run, start_outcome::not_started);
         return;
     }
@@ -97,12 +107,18 @@
         orders_.report_start(order.task, order.run, start_outcome::no_capacity);
         return;
     }
-    auto& state = pending_starts_[{order.task, order.run}];
+    const run_key key{order.task, order.run};
+    auto& state = pending_starts_[key];
     state.order = order;
-    state.sent_at = time_.now();
-    state.attempts = 1;
     traits_[order.task] = order.traits;
-    orders_.call_start(order, epoch_);
+    send_start(key, state);
+}
+
+void agent::send_start(const run_key& key, order_state& state) {
+    ++state.attempts;
+    state.sent_at = time_.now();
+    open_starts_.insert(key);
+    orders_.call_start(state.order, epoch_);
 }
 
 void agent::stop(const task_key& task, run_number run, epoch_number epoch) {
@@ -147,10 +163,8 @@
 // ---------------------------------------------------------------------------------------------
 // Executor
 
-void agent::reset_executor_state() {
+void agent::forget_lists() {
     has_view_ = false;
-    pending_starts_.clear();
-    pending_stops_.clear();
     running_.clear();
     finished_.clear();
     traits_.clear();
@@ -217,28 +231,59 @@
     return has_changed && has_view_;
 }
 
-void agent::begin_incarnation(executor_incarnation incarnation) {
+// Starts that were meant for the previous incarnation may have reached this one, whose id and
+// address may be the same. They and their withdrawals stay pending until its answers resolve them.
+void agent::begin_incarnation(const executor_view& view) {
+    std::vector<run_key> ambiguous;
+    for (const auto& [key, begun_at] : begun_at_) {
+        if (running_.count(key) == 0 && begun_at >= view.requested_at) {
+            ambiguous.push_back(key);  // either incarnation may have answered the start
+        }
+    }
     if (listed_incarnation_) {
-        end_executor();
+        record_end(*listed_incarnation_);
+    }
+    forget_lists();
+    listed_incarnation_ = view.incarnation;
+    executor_ = kept_report(view.incarnation);
+    std::erase_if(pending_stops_, [&](const auto& stop) {
+        return !stop.second.is_withdrawal && open_starts_.count(stop.first) == 0;
+    });
+    for (auto& [key, state] : pending_stops_) {
+        send_stop(key, state);  // the confirmation was that of the previous incarnation
+    }
+    for (const auto& key : ambiguous) {
+        if (!contains(view.running, key) && !contains(view.finished, key)) {
+            withdraw_start(key);
+        }
     }
-    listed_incarnation_ = incarnation;
-    executor_ = kept_report(incarnation);
 }
 
 bool agent::executor_view_received(const executor_view& view) {
     is_vacant_ = false;
-    const bool has_ended = listed_incarnation_ && *listed_incarnation_ != view.incarnation;
+    const auto ended = listed_incarnation_ != view.incarnation ? listed_incarnation_ : std::nullopt;
+    const auto ages = ended ? run_ages() : std::vector<run_age>{};
     if (listed_incarnation_ != view.incarnation) {
-        begin_incarnation(view.incarnation);
+        begin_incarnation(view);
     }
     if (last_end_ && last_end_->incarnation >= view.incarnation) {
         last_end_.reset();  // it is alive
     }
-    if (!executor_ || view.epoch != epoch_) {
-        return has_ended;
+    const bool is_first = !has_view_ && executor_ && view.epoch == epoch_;
+    if (view.epoch == epoch_) {
+        read_lists(view);
+    }
+    // Otherwise the inventory tells of the end, and of the runs that may have outlived it.
+    if (ended && unsettled_runs().empty()) {
+        orders_.report_executor_terminated(*ended, ages);
     }
-    const bool is_first = !has_view_;
-    has_view_ = true;
+    return is_first || ended.has_value();
+}
+
+void agent::read_lists(const executor_view& view) {
+    const bool had_view = std::exchange(has_view_, executor_.has_value());
+    // The executor refuses starts of earlier claims from now on.
+    unresolved_starts_.clear();
     ++view_count_;
     answered_at_ = time_.now();
     running_.clear();
@@ -265,11 +310,44 @@
     }
     resolve_starts(view);
     resolve_stops(view);
-    if (!new_completions.empty() && !is_first) {
+    if (!new_completions.empty() && had_view) {
         orders_.report_finished(view.incarnation, new_completions);
     }
-    update_pace();
-    return is_first;
+    if (executor_) {
+        update_pace();
+    }
+}
+
+std::vector<unsettled_run> agent::unsettled_runs() const {
+    std::map<run_key, bool> is_listed;
+    for (const auto& key : unresolved_starts_) {
+        is_listed[key] = false;
+    }
+    for (const auto& key : open_starts_) {
+        is_listed[key] = false;
+    }
+    for (const auto& [key, state] : pending_starts_) {
+        is_listed[key] = false;
+    }
+    for (const auto& [key, state] : pending_stops_) {
+        if (state.is_withdrawal) {
+            is_listed[key] = false;
+        }
+    }
+    // An inventory with an executor lists its runs itself.
+    if (!executor_) {
+        for (const auto& [key, run] : running_) {
+            is_listed[key] = true;
+        }
+        for (const auto& [number, completion] : finished_) {
+            is_listed[{completion.task, completion.run}] = true;
+        }
+    }
+    std::vector<unsettled_run> runs;
+    for (const auto& [key, listed] : is_listed) {
+        runs.push_back({key.first, key.second, listed});
+    }
+    return runs;
 }
 
 void agent::resolve_starts(const executor_view& view) {
@@ -316,7 +394,21 @@
 bool agent::executor_unreachable() {
     const bool is_new = executor_ || listed_incarnation_ || !is_vacant_;
     is_vacant_ = true;
-    end_executor();
+    if (!executor_ && !listed_incarnation_) {
+        return is_new;
+    }
+    const auto incarnation = listed_incarnation_ ? *listed_incarnation_ : executor_->incarnation;
+    const auto ages = run_ages();
+    record_end(incarnation);
+    forget_lists();
+    executor_.reset();
+    listed_incarnation_.reset();
+    // Whatever took a call before has ended.
+    pending_starts_.clear();
+    pending_stops_.clear();
+    open_starts_.clear();
+    unresolved_starts_.clear();
+    orders_.report_executor_terminated(incarnation, ages);
     return is_new;
 }
 
@@ -330,19 +422,6 @@
     }
 }
 
-void agent::end_executor() {
-    if (!executor_ && !listed_incarnation_) {
-        return;
-    }
-    const auto incarnation = listed_incarnation_ ? *listed_incarnation_ : executor_->incarnation;
-    record_end(incarnation);
-    const auto ages = run_ages();
-    reset_executor_state();
-    executor_.reset();
-    listed_incarnation_.reset();
-    orders_.report_executor_terminated(incarnation, ages);
-}
-
 void agent::record_begin(const run_key& key) {
     answered_at_ = time_.now();
     begun_at_[key] = answered_at_;
@@ -370,6 +449,7 @@
 
 void agent::start_answered(const task_key& task, run_number run, start_answer answer) {
     const run_key key{task, run};
+    open_starts_.erase(key);
     const auto found = pending_starts_.find(key);
     if (found == pending_starts_.end()) {
         return;  // resolved by a view, or replaced by a stop
@@ -384,10 +464,8 @@
     // Checked again, since the agent may have been suspended, or the executor may have begun to
     // drain or have shrunk while the answer was awaited.
     if (answer == start_answer::no_answer && state.attempts < max_start_attempts &&
-        accepts_starts() && !has_shrunk_since(state.order)) {
-        ++state.attempts;
-        state.sent_at = time_.now();
-        orders_.call_start(state.order, epoch_);
+        accepts(state.order) && !has_shrunk_since(state.order)) {
+        send_start(key, state);
         return;
     }
     if (answer == start_answer::no_answer || state.attempts > 1) {
--- a/libs/dispatch/src/coordinator.cpp
+++ b/libs/dispatch/src/coordinator.cpp
@@ -4,6 +4,27 @@
 
 namespace tanagerpaddle::dispatch {
 
+namespace {
+
+// The runs of an instance that the end of an earlier executor does not end.
+coordinator::state::surviving_runs runs_that_survive(const inventory& found) {
+    coordinator::state::surviving_runs survivors;
+    if (found.ended) {
+        for (const auto& each : found.ended->unsettled) {
+            survivors[{each.task, each.run}] = each.is_listed;
+        }
+    }
+    for (const auto& run : found.running) {
+        survivors[{run.task, run.run}] = true;
+    }
+    for (const auto& completion : found.finished) {
+        survivors[{completion.task, completion.run}] = true;
+    }
+    return survivors;
+}
+
+}  // namespace
+
 // ---------------------------------------------------------------------------------------------
 // Lookup
 
@@ -141,13 +162,14 @@
 void coordinator::instance_claimed(const instance_name& name, const inventory& found) {
     const auto index = state_->instance_index(name);
     auto& instance = state_->instances[index];
-    state_->remove_ended_executors(index, found);
+    const auto survivors = runs_that_survive(found);
+    state_->remove_ended_executors(index, found, survivors);
     const bool is_other_life = instance.executor && found.executor &&
                                instance.executor->incarnation != found.executor->incarnation;
     if (is_other_life) {
-        state_->remove_executor(index);
+        state_->remove_executor(index, {}, survivors);
     } else if (!instance.executor && found.executor) {
-        state_->remove_tasks_of_earlier_executors(index, found.executor->incarnation);
+        state_->remove_tasks_of_earlier_executors(index, found.executor->incarnation, survivors);
     }
     // The agent takes no grants of earlier owners any more, and this one grants nothing to an agent
     // without an executor.
--- a/libs/dispatch/src/coordinator_state.hpp
+++ b/libs/dispatch/src/coordinator_state.hpp
@@ -188,6 +188,10 @@
         bool is_unreachable = false;
     };
 
+    // Runs of an instance that may be alive although an executor of it has ended, and whether the
+    // lists of the next one show them.
+    using surviving_runs = std::map<std::pair<task_key, run_number>, bool>;
+
     // --- lookup (coordinator.cpp)
     std::size_t instance_index(const instance_name& name);
     [[nodiscard]] std::optional<std::size_t> find_instance(const instance_name& name) const;
@@ -216,7 +220,8 @@
     void count_orphaned_run_ended(const task_key& key);
     void stop_task(const task_key& key, task_state& task);
     void withdraw(const task_key& key);
-    void clear_instance(std::size_t instance);
+    // Requeues all tasks of the instance and drops its orphaned runs, but for the survivors.
+    void clear_instance(std::size_t instance, const surviving_runs& survivors = {});
     // Requeues placed tasks of an instance that is over its capacity until the others fit.
     void requeue_excess_tasks(std::size_t instance);
     void record_checkpoint(const task_key& key, task_state& task, const std::string& checkpoint);
@@ -253,11 +258,14 @@
     void flush_acknowledgements();
 
     // --- crashes (crashes.cpp)
-    void remove_executor(std::size_t instance, const std::vector<run_age>& ages = {});
+    void remove_executor(std::size_t instance, const std::vector<run_age>& ages = {},
+                         const surviving_runs& survivors = {});
     // Removes the executors of the instance that its agent knows to have ended.
-    void remove_ended_executors(std::size_t instance, const inventory& found);
+    void remove_ended_executors(std::size_t instance, const inventory& found,
+                                const surviving_runs& survivors = {});
     void remove_unreachable_executor(std::size_t instance);
-    void remove_tasks_of_earlier_executors(std::size_t instance, executor_incarnation found);
+    void remove_tasks_of_earlier_executors(std::size_t instance, executor_incarnation found,
+                                           const surviving_runs& survivors);
     crash_suspects collect_suspects(std::size_t instance, const std::vector<task_key>& keys,
                                     const std::vector<run_age>& ages);
     // True if the executor of the instance had the task so shortly that it may have crashed it.
--- a/libs/dispatch/src/crashes.cpp
+++ b/libs/dispatch/src/crashes.cpp
@@ -42,20 +42,30 @@
 
 // Requeues the tasks of an executor that no longer exists. One that was draining has left as it
 // announced; any other has crashed.
-void coordinator::state::remove_executor(std::size_t index, const std::vector<run_age>& ages) {
+void coordinator::state::remove_executor(std::size_t index, const std::vector<run_age>& ages,
+                                         const surviving_runs& survivors) {
     auto& instance = instances[index];
-    const std::vector<task_key> keys(instance.tasks.begin(), instance.tasks.end());
+    std::vector<task_key> keys;
+    for (const auto& key : instance.tasks) {
+        const auto survivor = survivors.find({key, find_task(key)->run});
+        if (survivor == survivors.end() || !survivor->second) {
+            keys.push_back(key);
+        }
+    }
     const bool has_crashed =
         instance.executor ? !instance.executor->is_draining : !instance.tasks.empty();
     auto suspects = has_crashed ? collect_suspects(index, keys, ages) : crash_suspects{};
-    clear_instance(index);
+    clear_instance(index, survivors);
     instance.executor.reset();
+    // No leases are granted until the next executor has reported itself.
+    instance.expires_at = time.now() + config.timing.expiry_delay();
     if (has_crashed) {
         record_crash(index, std::move(suspects));
     }
 }
 
-void coordinator::state::remove_ended_executors(std::size_t index, const inventory& found) {
+void coordinator::state::remove_ended_executors(std::size_t index, const inventory& found,
+                                                const surviving_runs& survivors) {
     if (!found.ended && !found.is_vacant) {
         return;
     }
@@ -68,7 +78,7 @@
             instance.executor->is_draining = true;  // announced while no link was open
         }
         if (found.is_vacant || incarnation <= end.incarnation) {
-            remove_executor(index, is_this_end ? end.ages : std::vector<run_age>{});
+            remove_executor(index, is_this_end ? end.ages : std::vector<run_age>{}, survivors);
         }
         return;
     }
@@ -76,9 +86,13 @@
     std::vector<task_key> ended;
     bool has_left = end.was_draining;
     for (const auto& key : instance.tasks) {
-        const auto incarnation = find_task(key)->incarnation;
+        const auto& task = *find_task(key);
+        const auto incarnation = task.incarnation;
         // Rows of earlier versions do not name the executor.
         const bool is_known = incarnation != executor_incarnation(0);
+        if (survivors.count({key, task.run}) != 0) {
+            continue;
+        }
         if (found.is_vacant || (is_known && incarnation <= end.incarnation)) {
             ended.push_back(key);
             has_left = has_left && incarnation == end.incarnation;
@@ -91,7 +105,7 @@
         requeue(key, *find_task(key));
     }
     if (found.is_vacant) {
-        clear_instance(index);  // runs that were being stopped
+        clear_instance(index, survivors);  // runs that were being stopped
     }
     if (!has_left && !ended.empty()) {
         record_crash(index, std::move(suspects));
@@ -115,12 +129,14 @@
 
 // Requeues the tasks that an earlier owner started on an executor before the one that is found now.
 void coordinator::state::remove_tasks_of_earlier_executors(std::size_t index,
-                                                           executor_incarnation found) {
+                                                           executor_incarnation found,
+                                                           const surviving_runs& survivors) {
     std::vector<task_key> keys;
     for (const auto& key : instances[index].tasks) {
-        const auto incarnation = find_task(key)->incarnation;
+        const auto& task = *find_task(key);
         // Rows of earlier versions do not name the executor.
-        if (incarnation != executor_incarnation(0) && incarnation < found) {
+        if (task.incarnation != executor_incarnation(0) && task.incarnation < found &&
+            survivors.count({key, task.run}) == 0) {
             keys.push_back(key);
         }
     }
--- a/libs/dispatch/src/task_lifecycle.cpp
+++ b/libs/dispatch/src/task_lifecycle.cpp
@@ -185,25 +185,36 @@
     }
 }
 
-void coordinator::state::clear_instance(std::size_t index) {
+void coordinator::state::clear_instance(std::size_t index, const surviving_runs& survivors) {
     auto& instance = instances[index];
+    resources kept;
     const std::vector<task_key> keys(instance.tasks.begin(), instance.tasks.end());
     for (const auto& key : keys) {
         auto& task = *find_task(key);
         if (task.phase == task_phase::placed) {
             withdraw(key);
-        } else if (task.instance == index) {
+        } else if (task.instance != index) {
+            continue;
+        } else if (survivors.count({key, task.run}) != 0) {
+            kept += reserved_resources(spec_of(key));
+            // Which executor has the run, if any, is not known until it has reported itself.
+            task.incarnation = executor_incarnation(0);
+        } else {
             requeue(key, task);
         }
     }
-    for (const auto& [id, demand] : instance.orphaned_runs) {
+    std::erase_if(instance.orphaned_runs, [&](const auto& orphan) {
+        const auto& [id, demand] = orphan;
+        if (survivors.count(id) != 0) {
+            kept += demand;
+            return false;
+        }
         instance.committed -= demand;
         count_orphaned_run_ended(id.first);
-    }
-    instance.orphaned_runs.clear();
-    check_invariant(
-        instance.committed == resources{},
-        "cleared instance still has committed resources: " + to_string(instance.committed));
+        return true;
+    });
+    check_invariant(instance.committed == kept, "cleared instance still has committed resources: " +
+                                                    to_string(instance.committed));
 }
 
 // Withdraws a start that was not sent; that of a gang with all members, which start together or not
@@ -437,6 +448,7 @@
             !find_job(key.job)->is_terminal() && task.phase != task_phase::stopping;
         if (present.count(key) != 0 && is_wanted) {
             task.phase = task_phase::running;
+            task.incarnation = found.executor->incarnation;
             mark_begun(key, task);
             task.progressed_at = time.now();
             orders.send_traits(instances[index].name, key, traits_of(spec_of(key)));
--- a/libs/dispatch/tests/random_faults_test.cpp
+++ b/libs/dispatch/tests/random_faults_test.cpp
@@ -210,3 +210,11 @@
     faults.foreign_report = 0.3;
     run_seeds(faults);
 }
+
+// Guards against a second run at once: a start reaches the next incarnation of a crashed executor.
+TEST_CASE("no invariant is violated and all jobs end when executors are back at once") {
+    auto faults = all_faults();
+    faults.executor_crash = 0.5;
+    faults.quick_restart = 0.8;
+    run_seeds(faults);
+}
--- a/libs/dispatch/tests/world.cpp
+++ b/libs/dispatch/tests/world.cpp
@@ -25,6 +25,8 @@
 constexpr std::uint32_t crashes_to_give_up = 2;
 // Longest time between two reports of an executor.
 constexpr milliseconds report_interval{1'500};
+constexpr std::uint64_t max_quick_restart_ms = 100;
+constexpr std::uint64_t max_first_report_ms = 1'100;
 // A capacity that has shrunk still counts until the report has certainly arrived: the shortest
 // contact time, and one report later.
 constexpr milliseconds shrink_notice = milliseconds(3'000) + report_interval;
@@ -89,6 +91,11 @@
     bool reports_early = false;
     // No executor takes its place.
     bool is_removed = false;
+    // It is back before its agent has noticed its end.
+    bool restarts_quickly = false;
+    // The oldest incarnation whose starts it carries out, and when it first reports itself.
+    executor_incarnation oldest_accepted{1};
+    instant reports_from;
     std::map<run_key, sim_run> running;
     std::map<std::uint64_t, finished_task> finished;
     std::map<task_key, run_number> highest_run;
@@ -571,10 +578,17 @@
     }
     const auto incarnation = target.info.incarnation.next();
     const auto info = target.info;
+    const bool keeps_id = target.restarts_quickly;
+    const auto oldest_accepted = target.oldest_accepted;
     target = {};
     target.info = info;
     target.info.is_draining = false;
     target.info.incarnation = incarnation;
+    target.oldest_accepted = keeps_id ? oldest_accepted : incarnation;
+    if (keeps_id) {
+        target.reports_from =
+            time.now() + milliseconds(static_cast<std::int64_t>(random.below(max_first_report_ms)));
+    }
     target.lease_until = time.now();
     // Draws only with this fault, so that the seeds of other tests keep their meaning.
     if (faults.early_report > 0 && random.chance(faults.early_report)) {
@@ -590,8 +604,12 @@
 
 void world::state::restart_executor(std::size_t index) {
     end_executor(index);
-    at(milliseconds(200 + static_cast<std::int64_t>(random.below(2'000))),
-       [this, index] { begin_executor(index); });
+    // Draws only with this fault, so that the seeds of other tests keep their meaning.
+    auto& executor = instances[index]->executor;
+    executor.restarts_quickly = faults.quick_restart > 0 && random.chance(faults.quick_restart);
+    const auto away = executor.restarts_quickly ? 1 + random.below(max_quick_restart_ms)
+                                                : 200 + random.below(2'000);
+    at(milliseconds(static_cast<std::int64_t>(away)), [this, index] { begin_executor(index); });
 }
 
 void world::state::restart_agent(sim_instance& instance) {
@@ -624,11 +642,15 @@
         is_late ? milliseconds(2'000 + static_cast<std::int64_t>(owner->random.below(10'000)))
                 : call_delay;
     const instant lease = core->lease_expires_at();
-    owner->at(delay, [this, order, epoch, lease, is_late, is_unanswered] {
+    // An order that an executor carries out late ends with that executor.
+    const auto earliest = is_late ? executor.info.incarnation : order.incarnation;
+    owner->at(delay, [this, order, epoch, lease, is_late, is_unanswered, earliest] {
         owner->finish_due_runs(executor, index);
         auto answer = start_answer::started;
         const run_key key{order.task, order.run};
-        if (!executor.is_up || executor.info.incarnation != order.incarnation) {
+        const bool is_accepted = executor.oldest_accepted <= order.incarnation &&
+                                 (!is_late || executor.info.incarnation == earliest);
+        if (!executor.is_up || !is_accepted) {
             answer = start_answer::refused;
         } else if (epoch < executor.epoch) {
             answer = start_answer::stale_epoch;
@@ -741,7 +763,8 @@
     if (executor.is_up) {
         finish_due_runs(executor, index);
         check_cancelled_runs(index);
-        if (instance.core->executor_reported(executor.info)) {
+        if (time.now() >= executor.reports_from &&
+            instance.core->executor_reported(executor.info)) {
             to_coordinator(instance,
                            [n = instance.name, info = executor.info](coordinator& target) {
                                target.executor_changed(n, info);
@@ -782,7 +805,7 @@
     if (executor.reports_early) {
         static_cast<void>(instance.core->executor_reported(executor.info));
     }
-    if (instance.core->executor_unreachable()) {
+    if (!executor.restarts_quickly && instance.core->executor_unreachable()) {
         to_coordinator(instance, [n = instance.name, found = instance.core->current_inventory()](
                                      coordinator& target) { target.instance_claimed(n, found); });
     }
--- a/libs/dispatch/tests/world.hpp
+++ b/libs/dispatch/tests/world.hpp
@@ -49,6 +49,10 @@
     double slow_link = 0;
     // Share of executors that report themselves for a while before their port is open.
     double early_report = 0;
+    // Share of the crashes after which the executor is back under its id within 0.1 s, before its
+    // agent has noticed, and reports itself up to 1.1 s later. It carries out starts that were
+    // meant for its earlier incarnations.
+    double quick_restart = 0;
     // Another writer reports an executor of a later incarnation to an agent.
     double foreign_report = 0;
 };
--- a/libs/dispatch_node/src/agent_node.cpp
+++ b/libs/dispatch_node/src/agent_node.cpp
@@ -264,7 +264,7 @@
             }
             needs_delay = now - request_sent_at < min_sync_duration && !has_new_completions;
         } else if (result.is_connection_refused &&
-                   ++refused_connections >= max_refused_connections) {
+                   ++refused_connections >= max_refused_connections && !core.has_open_starts()) {
             if (core.executor()) {
                 log_event(log_level::warning, "executor_unreachable",
                           {{"executor", core.executor()->id.value()},
--- a/libs/dispatch_node/src/messages.cpp
+++ b/libs/dispatch_node/src/messages.cpp
@@ -199,13 +199,24 @@
     for (const auto& age : end.ages) {
         ages.push_back(messages::encode(age));
     }
-    return {{"life", end.incarnation.value()},
-            {"draining", end.was_draining},
-            {"ages", std::move(ages)}};
+    json out{{"life", end.incarnation.value()},
+             {"draining", end.was_draining},
+             {"ages", std::move(ages)}};
+    for (const auto& each : end.unsettled) {
+        out["unsettled"].push_back({messages::encode(each.task), each.run.value(), each.is_listed});
+    }
+    return out;
 }
 
 executor_end decode_executor_end(const json& in) {
-    return {decode_incarnation(in.at("life")), in.at("draining").get<bool>(), decode_run_ages(in)};
+    executor_end end{
+        decode_incarnation(in.at("life")), in.at("draining").get<bool>(), decode_run_ages(in), {}};
+    // Agents of earlier versions do not send them.
+    for (const auto& each : json_input::list_or_empty(in, "unsettled")) {
+        end.unsettled.push_back(
+            {decode_task(each.at(0)), decode_run(each.at(1)), each.at(2).get<bool>()});
+    }
+    return end;
 }
 
 json encode(const inventory& found) {
--- a/libs/dispatch_node/src/owner_links.cpp
+++ b/libs/dispatch_node/src/owner_links.cpp
@@ -168,6 +168,7 @@
                {"running", found.running.size()},
                {"finished", found.finished.size()},
                {"ended_lifetime", found.ended ? found.ended->incarnation.value() : 0},
+               {"unsettled", found.ended ? found.ended->unsettled.size() : 0},
                {"vacant", found.is_vacant}});
     coordinator_.instance_claimed(instance, found);
     log_unresolved(instance);
--- a/libs/dispatch_node/tests/messages_test.cpp
+++ b/libs/dispatch_node/tests/messages_test.cpp
@@ -44,3 +44,19 @@
     order.capacity = resources{millicores(8'000), mebibytes(1'000), accelerator_count(2)};
     CHECK(messages::decode_start(messages::encode(order)).capacity == order.capacity);
 }
+
+// Owners and agents of different versions work together during an upgrade.
+TEST_CASE("the end of an executor is decoded with its unsettled runs, or without") {
+    executor_end end{executor_incarnation(1'000), true, {}, {}};
+    CHECK_FALSE(messages::encode(end).contains("unsettled"));
+    CHECK(messages::decode_executor_end(messages::encode(end)).unsettled.empty());
+    end.unsettled = {{{job_id("job"), 1, 2, 3}, run_number(4), true},
+                     {{job_id("job"), 0, 0, 0}, run_number(1), false}};
+    const auto decoded = messages::decode_executor_end(messages::encode(end));
+    REQUIRE(decoded.unsettled.size() == 2);
+    CHECK(decoded.unsettled[0].task == end.unsettled[0].task);
+    CHECK(decoded.unsettled[0].run == end.unsettled[0].run);
+    CHECK(decoded.unsettled[0].is_listed);
+    CHECK_FALSE(decoded.unsettled[1].is_listed);
+    CHECK(decoded.was_draining);
+}
