dispatch: nothing is sent for the known executor over a connection that may be to another

Change: the HTTP client tells a lost connection from a timeout. After a lost or refused connection the next look acknowledges and extends nothing and is answered at once, and starts are held until the lists tell which executor listens; one that is held for 0.5 s is refused. A start that was never sent is not among the ages at the end of an executor, so that it counts as no suspect.

--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -743,6 +743,9 @@
     // coordinator must get an inventory: this is the first view of a reported executor under the
     // current claim, or it shows that the known executor has ended.
     bool executor_view_received(const executor_view& view);
+    // A connection to the executor broke or was refused: another executor may listen at its address
+    // by now. No start is sent until the next lists tell which one does.
+    void connection_lost() noexcept { is_in_doubt_ = true; }
     // The executor's port refuses connections: none of the instance is alive. Returns true if the
     // coordinator must get an inventory, since this was not known. Call it only while no start is
     // open, which the next executor might take.
@@ -769,7 +772,9 @@
 private:
     struct order_state {
         start_order order;
+        // When the order was last sent, or held.
         instant sent_at;
+        // 0 for a start that is held until the next lists.
         int attempts = 0;
         // This stop withdraws a start that was not answered.
         bool is_withdrawal = false;
@@ -796,6 +801,8 @@
     void withdraw_start(const run_key& key);
     void resolve_starts(const executor_view& view);
     void resolve_stops(const executor_view& view);
+    void send_held_starts();
+    void refuse_held_starts();
     void record_begin(const run_key& key);
     [[nodiscard]] std::vector<run_age> run_ages() const;
 
@@ -811,6 +818,7 @@
     std::vector<executor_info> reports_;
     std::optional<executor_end> last_end_;
     bool is_vacant_ = false;
+    bool is_in_doubt_ = false;
     // The lists of this incarnation have been read under the current epoch: the executor refuses
     // orders of earlier epochs, so that no run can start that the lists do not contain.
     bool has_view_ = false;
--- a/libs/dispatch/src/agent.cpp
+++ b/libs/dispatch/src/agent.cpp
@@ -12,6 +12,9 @@
 // more attempts would keep the capacity of an unresponsive executor committed.
 constexpr int max_start_attempts = 3;
 constexpr milliseconds stop_retry_interval{200};
+// Longest time for which a start waits for lists after a lost connection. The lists are read again
+// within 0.1 s unless the executor does not answer.
+constexpr milliseconds max_hold_time{500};
 // An executor takes at most 0.9 s to end a run whose stop it has confirmed. A run that it lists
 // later was not affected by the stop.
 constexpr milliseconds max_stop_time{1'000};
@@ -49,7 +52,9 @@
         epoch_ = epoch;
         has_view_ = false;
         for (const auto& [key, state] : pending_starts_) {
-            unresolved_starts_.insert(key);
+            if (state.attempts > 0) {
+                unresolved_starts_.insert(key);
+            }
         }
         for (const auto& [key, state] : pending_stops_) {
             if (state.is_withdrawal) {
@@ -111,7 +116,11 @@
     auto& state = pending_starts_[key];
     state.order = order;
     traits_[order.task] = order.traits;
-    send_start(key, state);
+    if (is_in_doubt_) {
+        state.sent_at = time_.now();
+    } else {
+        send_start(key, state);
+    }
 }
 
 void agent::send_start(const run_key& key, order_state& state) {
@@ -252,6 +261,17 @@
     for (auto& [key, state] : pending_stops_) {
         send_stop(key, state);  // the confirmation was that of the previous incarnation
     }
+    for (auto position = pending_starts_.begin(); position != pending_starts_.end();) {
+        const auto& [key, state] = *position;
+        if (state.attempts > 0) {
+            if (open_starts_.count(key) == 0) {
+                ambiguous.push_back(key);
+            }
+            ++position;
+        } else {
+            position = pending_starts_.erase(position);
+        }
+    }
     for (const auto& key : ambiguous) {
         if (!contains(view.running, key) && !contains(view.finished, key)) {
             withdraw_start(key);
@@ -261,6 +281,7 @@
 
 bool agent::executor_view_received(const executor_view& view) {
     is_vacant_ = false;
+    is_in_doubt_ = false;
     const auto ended = listed_incarnation_ != view.incarnation ? listed_incarnation_ : std::nullopt;
     const auto ages = ended ? run_ages() : std::vector<run_age>{};
     if (listed_incarnation_ != view.incarnation) {
@@ -310,6 +331,7 @@
     }
     resolve_starts(view);
     resolve_stops(view);
+    send_held_starts();
     if (!new_completions.empty() && had_view) {
         orders_.report_finished(view.incarnation, new_completions);
     }
@@ -363,6 +385,28 @@
     }
 }
 
+// Starts that were ordered, or not answered, while it was unknown which executor listens.
+void agent::send_held_starts() {
+    std::vector<run_key> held;
+    for (const auto& [key, state] : pending_starts_) {
+        if (open_starts_.count(key) == 0) {
+            held.push_back(key);
+        }
+    }
+    for (const auto& key : held) {
+        auto& state = pending_starts_.at(key);
+        if (state.attempts < max_start_attempts && accepts(state.order) &&
+            !has_shrunk_since(state.order)) {
+            send_start(key, state);
+        } else if (state.attempts > 0) {
+            withdraw_start(key);
+        } else {
+            pending_starts_.erase(key);
+            orders_.report_start(key.first, key.second, start_outcome::not_started);
+        }
+    }
+}
+
 void agent::resolve_stops(const executor_view& view) {
     for (auto position = pending_stops_.begin(); position != pending_stops_.end();) {
         const run_key key = position->first;
@@ -394,6 +438,7 @@
 bool agent::executor_unreachable() {
     const bool is_new = executor_ || listed_incarnation_ || !is_vacant_;
     is_vacant_ = true;
+    is_in_doubt_ = false;
     if (!executor_ && !listed_incarnation_) {
         return is_new;
     }
@@ -430,7 +475,9 @@
 std::vector<run_age> agent::run_ages() const {
     std::vector<run_age> ages;
     for (const auto& [key, state] : pending_starts_) {
-        ages.push_back({key.first, key.second, milliseconds(0)});
+        if (state.attempts > 0) {
+            ages.push_back({key.first, key.second, milliseconds(0)});
+        }
     }
     for (const auto& [key, state] : pending_stops_) {
         if (state.is_withdrawal) {
@@ -461,6 +508,9 @@
         orders_.report_start(task, run, start_outcome::started);
         return;
     }
+    if (answer == start_answer::no_answer && is_in_doubt_) {
+        return;  // held until the next lists
+    }
     // Checked again, since the agent may have been suspended, or the executor may have begun to
     // drain or have shrunk while the answer was awaited.
     if (answer == start_answer::no_answer && state.attempts < max_start_attempts &&
@@ -502,6 +552,20 @@
             send_stop(key, state);
         }
     }
+    refuse_held_starts();
+}
+
+void agent::refuse_held_starts() {
+    std::vector<run_key> held;
+    for (const auto& [key, state] : pending_starts_) {
+        if (state.attempts == 0 && time_.now() - state.sent_at >= max_hold_time) {
+            held.push_back(key);
+        }
+    }
+    for (const auto& key : held) {
+        pending_starts_.erase(key);
+        orders_.report_start(key.first, key.second, start_outcome::not_started);
+    }
 }
 
 void agent::update_sample() {
--- a/libs/dispatch/tests/world.cpp
+++ b/libs/dispatch/tests/world.cpp
@@ -805,7 +805,9 @@
     if (executor.reports_early) {
         static_cast<void>(instance.core->executor_reported(executor.info));
     }
-    if (!executor.restarts_quickly && instance.core->executor_unreachable()) {
+    if (executor.restarts_quickly) {
+        instance.core->connection_lost();
+    } else if (instance.core->executor_unreachable()) {
         to_coordinator(instance, [n = instance.name, found = instance.core->current_inventory()](
                                      coordinator& target) { target.instance_claimed(n, found); });
     }
--- a/libs/dispatch_node/src/agent_node.cpp
+++ b/libs/dispatch_node/src/agent_node.cpp
@@ -219,7 +219,9 @@
         }
         // The first sync must return at once: the coordinator waits for the inventory.
         const auto wait = has_executor_clock ? max_sync_wait : milliseconds(0);
-        executor.sync(core.epoch(), core.acknowledged(), until, wait,
+        // Without its clock it may be another executor, whose completions have other numbers.
+        const auto acknowledged = has_executor_clock ? core.acknowledged() : completion_number(0);
+        executor.sync(core.epoch(), acknowledged, until, wait,
                       [self = shared_from_this(), request_sent_at, sequence = sync_sequence,
                        epoch = core.epoch()](const sync_result& result) {
                           if (sequence == self->sync_sequence) {
@@ -242,6 +244,10 @@
     void on_synced(instant request_sent_at, epoch_number epoch, const sync_result& result) {
         const instant now = time.now();
         bool needs_delay = true;
+        if (result.is_connection_lost || result.is_connection_refused) {
+            has_executor_clock = false;
+            core.connection_lost();
+        }
         if (result.is_answered) {
             refused_connections = 0;
             executor_clock_ms = result.executor_clock_ms;
@@ -271,7 +277,6 @@
                            {"lifetime", core.executor()->incarnation.value()},
                            {"has_coordinator", link != nullptr}});
             }
-            has_executor_clock = false;
             if (core.executor_unreachable()) {
                 send(messages::encode(core.current_inventory()));
                 if (is_leaving) {
--- a/libs/eventio/include/tanagerpaddle/eventio.hpp
+++ b/libs/eventio/include/tanagerpaddle/eventio.hpp
@@ -136,6 +136,9 @@
     std::string body;
     // True if the peer's host refused the connection attempt.
     bool was_connection_refused = false;
+    // True if the peer's host ended an established connection before the answer was complete. The
+    // peer may be another process by the next call.
+    bool was_connection_lost = false;
 };
 
 struct http_call {
--- a/libs/eventio/src/http_client.cpp
+++ b/libs/eventio/src/http_client.cpp
@@ -118,7 +118,7 @@
         http::async_write(stream_, request_,
                           [self = shared_from_this()](error_code failure, std::size_t) {
                               if (failure) {
-                                  self->finish({}, false);
+                                  self->fail(failure);
                                   return;
                               }
                               self->read();
@@ -131,7 +131,7 @@
         http::async_read(stream_, buffer_, *parser_,
                          [self = shared_from_this()](error_code failure, std::size_t) {
                              if (failure) {
-                                 self->finish({}, false);
+                                 self->fail(failure);
                                  return;
                              }
                              const bool is_keep_alive = self->parser_->keep_alive();
@@ -144,6 +144,12 @@
                          });
     }
 
+    void fail(error_code failure) {
+        http_result result;
+        result.was_connection_lost = failure != beast::error::timeout;
+        finish(result, false);
+    }
+
     void finish(const http_result& result, bool is_keep_alive) {
         const auto call = std::move(call_);
         call_.reset();
--- a/libs/eventio/tests/http_test.cpp
+++ b/libs/eventio/tests/http_test.cpp
@@ -105,19 +105,38 @@
     http_client client(loop, local_endpoint(2), 1);
     bool done = false;
     std::vector<call_outcome> outcomes;
+    bool was_connection_lost = false;
     for (int i = 0; i < 2; ++i) {
         client.call({"GET", "/", "", {}}, milliseconds(200 - 100 * i),
                     [&](const http_result& result) {
                         outcomes.push_back(result.outcome);
+                        was_connection_lost = was_connection_lost || result.was_connection_lost;
                         done = outcomes.size() == 2;
                     });
     }
     run_until(loop, done);
     REQUIRE(outcomes.size() == 2);
+    CHECK_FALSE(was_connection_lost);
     CHECK(std::count(outcomes.begin(), outcomes.end(), call_outcome::unknown) == 1);
     CHECK(std::count(outcomes.begin(), outcomes.end(), call_outcome::not_sent) == 1);
 }
 
+TEST_CASE("a call whose connection the peer closes ends as unknown, with the connection lost") {
+    event_loop loop;
+    message_server peer(loop, local_endpoint(8), [](const std::shared_ptr<message_link>& link) {
+        link->close();
+        return link_handlers{[](const std::string&) {}, [] {}};
+    });
+    http_client client(loop, local_endpoint(8), 1);
+    bool done = false;
+    client.call({"GET", "/", "", {}}, milliseconds(2'000), [&](const http_result& result) {
+        CHECK(result.outcome == call_outcome::unknown);
+        CHECK(result.was_connection_lost);
+        done = true;
+    });
+    run_until(loop, done);
+}
+
 TEST_CASE("a request body over the size limit is rejected with status 413") {
     event_loop loop;
     http_server_options options;
