--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -432,6 +432,7 @@
     // All completions up to `number` are durable.
     virtual void acknowledge(const instance_name& instance, executor_incarnation incarnation,
                              completion_number number) = 0;
+    // At most 30 executors, not empty.
     virtual void request_permits(const step_key& step,
                                  const std::vector<executor_id>& executors) = 0;
     // Sends an agent the properties of a run that an earlier owner started.
@@ -616,8 +617,9 @@
     [[nodiscard]] const interference_model& interference() const;
     // Restores the estimates of an earlier owner as an agent has kept them.
     void restore_pressures(const interference_model::pressure_table& pressures);
-    void permits_granted(const step_key& step, const std::vector<permit>& permits,
-                         instant valid_until);
+    // The answer to a request for `asked`: the permits of those that may run the step.
+    void permits_granted(const step_key& step, const std::vector<executor_id>& asked,
+                         const std::vector<permit>& permits, instant valid_until);
     void permit_request_failed(const step_key& step);
 
     // --- time and writes -----------------------------------------------------------------------
--- a/libs/dispatch/src/coordinator.cpp
+++ b/libs/dispatch/src/coordinator.cpp
@@ -279,8 +279,9 @@
         }
         return;
     }
-    if (outcome == start_outcome::bad_permit) {
-        state_->permits_by_step.erase({key.job, key.occurrence, key.step});
+    const auto& executor = state_->instances[*index].executor;
+    if (outcome == start_outcome::bad_permit && executor) {
+        state_->permits_by_step[{key.job, key.occurrence, key.step}].forget(executor->id);
     }
     state_->requeue(key, *task);
     task->last_failed_instance = index;
@@ -351,19 +352,20 @@
     }
 }
 
-void coordinator::permits_granted(const step_key& step, const std::vector<permit>& permits,
-                                  instant valid_until) {
-    auto& entry = state_->permits_by_step[step];
-    entry.is_requested = false;
-    entry.valid_until = valid_until;
-    entry.tickets.clear();
-    for (const auto& allowed : permits) {
-        entry.tickets[allowed.executor] = allowed.ticket;
+void coordinator::permits_granted(const step_key& step, const std::vector<executor_id>& asked,
+                                  const std::vector<permit>& permits, instant valid_until) {
+    // The job may have ended since.
+    if (const auto found = state_->permits_by_step.find(step);
+        found != state_->permits_by_step.end()) {
+        found->second.granted(asked, permits, valid_until);
     }
 }
 
 void coordinator::permit_request_failed(const step_key& step) {
-    state_->permits_by_step.erase(step);
+    if (const auto found = state_->permits_by_step.find(step);
+        found != state_->permits_by_step.end()) {
+        found->second.request_failed(state_->time.now());
+    }
 }
 
 coordinator::counts coordinator::count() const {
--- a/libs/dispatch/src/coordinator_state.hpp
+++ b/libs/dispatch/src/coordinator_state.hpp
@@ -7,6 +7,7 @@
 #include <unordered_set>
 
 #include "crashes.hpp"
+#include "permits.hpp"
 #include "placement.hpp"
 #include "tanagerpaddle/dispatch.hpp"
 
@@ -161,12 +162,6 @@
     state(options settings, const clock& source, coordinator_orders& sink)
         : config(settings), time(source), orders(sink) {}
 
-    struct permit_state {
-        instant requested_at;
-        bool is_requested = false;
-        instant valid_until;
-        std::map<executor_id, std::string> tickets;
-    };
     // Phases, starts and completions that a write in progress makes durable.
     struct job_write {
         job_id job;
@@ -293,7 +288,8 @@
     bool place_gang(const ready_step& step);
     void place_task(const ready_step& step, std::uint32_t index, std::size_t instance);
     [[nodiscard]] bool is_known_unplaceable(const ready_step& step) const;
-    bool has_permits(const ready_step& step);
+    // Asks the policy service for more executors if a request is due.
+    void request_permits(const ready_step& step);
     [[nodiscard]] std::vector<ready_step> collect_ready_steps();
 
     options config;
@@ -311,7 +307,7 @@
     std::optional<write_in_progress> active_write;
     std::map<queue_id, queue_rules> queues;
     std::set<failure_domain_id> evacuated_domains;
-    std::map<step_key, permit_state> permits_by_step;
+    std::map<step_key, step_permits> permits_by_step;
     std::map<queue_id, std::int64_t> queued_job_counts;
     instant inspected_at;
     interference_model interference;
--- a/libs/dispatch/src/crashes.cpp
+++ b/libs/dispatch/src/crashes.cpp
@@ -56,6 +56,11 @@
         instance.executor ? !instance.executor->is_draining : !instance.tasks.empty();
     auto suspects = has_crashed ? collect_suspects(index, keys, ages) : crash_suspects{};
     clear_instance(index, survivors);
+    if (instance.executor) {
+        for (auto& [step, permits] : permits_by_step) {
+            permits.forget(instance.executor->id);
+        }
+    }
     instance.executor.reset();
     // No leases are granted until the next executor has reported itself.
     instance.expires_at = time.now() + config.timing.expiry_delay();
--- a/libs/dispatch/src/placement.cpp
+++ b/libs/dispatch/src/placement.cpp
@@ -32,11 +32,6 @@
     return found == sample.fillers.end() ? 0 : found->used.value();
 }
 
-bool has_label(const executor_info& executor, const std::string& label) {
-    return std::find(executor.labels.begin(), executor.labels.end(), label) !=
-           executor.labels.end();
-}
-
 double processor_share(const instance_state& instance, std::int64_t millicores_used) {
     const auto capacity = std::max<std::int64_t>(1, instance.executor->capacity.processors.value());
     return static_cast<double>(millicores_used) / static_cast<double>(capacity);
@@ -184,6 +179,11 @@
 
 }  // namespace
 
+bool has_label(const executor_info& executor, const std::string& label) {
+    return std::find(executor.labels.begin(), executor.labels.end(), label) !=
+           executor.labels.end();
+}
+
 void instance_health::succeeded() noexcept {
     failing_jobs_.clear();
     quarantine_count_ = 0;
@@ -248,6 +248,10 @@
            context.evacuated->count(instance.executor->domain) == 0;
 }
 
+bool has_permit(const executor_info& executor, const placement_context& context) {
+    return context.permits == nullptr || context.permits->count(executor.id) > 0;
+}
+
 bool can_start(instance_state& instance, const ready_step& step, const placement_context& context) {
     if (!accepts_starts(instance, context) || !is_eligible(*instance.executor, step)) {
         return false;
@@ -260,13 +264,12 @@
     if (is_kept_from_others && !context.checks_capacity_only) {
         return false;
     }
-    const bool has_permit =
-        context.permits == nullptr || context.permits->count(instance.executor->id) > 0;
     const bool is_on_rack =
         context.rack.empty() || has_label(*instance.executor, context.rack.value());
     const bool is_spread = step.spec->max_per_executor == 0 ||
                            count_step_tasks(instance, step.key) < step.spec->max_per_executor;
-    return has_permit && is_on_rack && is_spread && fits(instance, step, context);
+    return has_permit(*instance.executor, context) && is_on_rack && is_spread &&
+           fits(instance, step, context);
 }
 
 std::optional<std::size_t> choose_instance(std::vector<instance_state>& instances,
--- a/libs/dispatch/src/placement.hpp
+++ b/libs/dispatch/src/placement.hpp
@@ -143,6 +143,9 @@
 [[nodiscard]] std::optional<std::size_t> choose_instance(std::vector<instance_state>& instances,
                                                          const ready_step& step,
                                                          const placement_context& context);
+// True if the policy service allows the executor, or need not be asked.
+[[nodiscard]] bool has_permit(const executor_info& executor, const placement_context& context);
+[[nodiscard]] bool has_label(const executor_info& executor, const std::string& label);
 // True if one more task of the step may start on the instance now and has capacity there.
 [[nodiscard]] bool can_start(instance_state& instance, const ready_step& step,
                              const placement_context& context);
--- a/libs/dispatch/src/planning.cpp
+++ b/libs/dispatch/src/planning.cpp
@@ -8,10 +8,6 @@
 
 namespace {
 
-// An unanswered permit request is repeated after this time.
-constexpr milliseconds permit_retry_interval{2'000};
-// Maximum number of executors in one permit request; the policy service needs time for each.
-constexpr std::size_t max_executors_per_request = 30;
 // Interval at which running tasks are inspected; equals the agents' heartbeat interval. Inspecting
 // them in every plan would take most of the owner's processor time with many instances.
 constexpr milliseconds inspection_interval{300};
@@ -198,13 +194,20 @@
     }
     unplaceable_fillers.clear();
     for (const auto& step : collect_ready_steps()) {
-        if (is_known_unplaceable(step) || !has_permits(step)) {
+        if (is_known_unplaceable(step)) {
             continue;
         }
-        if (step.spec->is_gang) {
-            place_gang(step);
-        } else {
-            place_step(step);
+        if (step.rules.requires_permit) {
+            auto& permits = permits_by_step[step.key];
+            permits.expire(time.now());
+            if (permits.tickets().empty()) {
+                request_permits(step);
+                continue;
+            }
+        }
+        const bool is_placed = step.spec->is_gang ? place_gang(step) : place_step(step);
+        if (!is_placed && step.rules.requires_permit) {
+            request_permits(step);
         }
     }
 }
@@ -219,34 +222,29 @@
            step.spec->demand.processors.value() >= found->second;
 }
 
-bool coordinator::state::has_permits(const ready_step& step) {
-    if (!step.rules.requires_permit) {
-        return true;
-    }
-    const instant now = time.now();
-    auto& entry = permits_by_step[step.key];
-    if (now < entry.valid_until) {
-        return true;
-    }
-    if (entry.is_requested && now < entry.requested_at + permit_retry_interval) {
-        return false;
-    }
+void coordinator::state::request_permits(const ready_step& step) {
     placement_context context;
-    context.now = now;
+    context.now = time.now();
     context.evacuated = &evacuated_domains;
-    std::vector<executor_id> candidates;
-    for (const auto& instance : instances) {
-        if (accepts_starts(instance, context) && is_eligible(*instance.executor, step) &&
-            candidates.size() < max_executors_per_request) {
-            candidates.push_back(instance.executor->id);
+    context.interference = &interference;
+    context.fillers = config.fillers;
+    context.crashes = config.crashes;
+    std::vector<permit_candidate> candidates;
+    // Steps begin at different instances, so that they do not all get permits for the same ones.
+    const auto first = instances.empty() ? 0 : std::hash<job_id>{}(step.key.job) % instances.size();
+    for (std::size_t i = 0; i < instances.size(); ++i) {
+        auto& instance = instances[(first + i) % instances.size()];
+        if (accepts_starts(instance, context) && is_eligible(*instance.executor, step)) {
+            const auto& rack = step.spec->preferred_rack;
+            candidates.push_back({instance.executor->id, can_start(instance, step, context),
+                                  rack.empty() || has_label(*instance.executor, rack.value())});
         }
     }
-    if (!candidates.empty()) {
-        entry.is_requested = true;
-        entry.requested_at = now;
-        orders.request_permits(step.key, candidates);
+    const auto executors =
+        permits_by_step[step.key].begin_request(std::move(candidates), context.now);
+    if (!executors.empty()) {
+        orders.request_permits(step.key, executors);
     }
-    return false;
 }
 
 bool coordinator::state::place_step(const ready_step& step) {
@@ -254,7 +252,7 @@
     context.now = time.now();
     context.evacuated = &evacuated_domains;
     if (step.rules.requires_permit) {
-        context.permits = &permits_by_step[step.key].tickets;
+        context.permits = &permits_by_step[step.key].tickets();
     }
     context.interference = &interference;
     context.fillers = config.fillers;
@@ -279,7 +277,8 @@
             is_waiting_too_long || (step.is_starved && index == step.waiting.front());
         const auto instance = choose_instance(instances, step, context);
         if (!instance) {
-            if (step.spec->is_filler && !context.checks_capacity_only) {
+            if (step.spec->is_filler && !context.checks_capacity_only &&
+                context.permits == nullptr) {
                 unplaceable_fillers.try_emplace({step.spec->image, step.reserves_slack},
                                                 step.spec->demand.processors.value());
             }
@@ -290,6 +289,7 @@
                 for (std::size_t i = 0; i < instances.size(); ++i) {
                     if (accepts_starts(instances[i], context) &&
                         is_eligible(*instances[i].executor, step) &&
+                        has_permit(*instances[i].executor, context) &&
                         !instances[i].health.is_quarantined(context.now) &&
                         (!largest ||
                          instances[i].free().processors > instances[*largest].free().processors)) {
@@ -325,7 +325,7 @@
     context.fillers = config.fillers;
     context.crashes = config.crashes;
     if (step.rules.requires_permit) {
-        context.permits = &permits_by_step[step.key].tickets;
+        context.permits = &permits_by_step[step.key].tickets();
     }
     std::vector<std::size_t> chosen;
     for (const auto index : step.waiting) {
@@ -385,7 +385,7 @@
     order.incarnation = target.executor->incarnation;
     order.traits = traits_of(*step.spec);
     if (step.rules.requires_permit) {
-        order.permit = permits_by_step[step.key].tickets[target.executor->id];
+        order.permit = permits_by_step[step.key].tickets().at(target.executor->id);
     }
     job.pending_starts.push_back({instance, std::move(order)});
     if (job.phase == job_phase::pending) {
--- a/libs/dispatch_node/src/owner_session.cpp
+++ b/libs/dispatch_node/src/owner_session.cpp
@@ -323,7 +323,7 @@
     const instant request_sent_at = env_.time->now();
     env_.policies->request_permits(
         step, executors,
-        [self = shared_from_this(), step, request_sent_at](
+        [self = shared_from_this(), step, executors, request_sent_at](
             std::optional<std::vector<permit>> permits, milliseconds valid_for) {
             if (self->is_closed_) {
                 return;
@@ -334,7 +334,8 @@
                            {"step", step.step},
                            {"executors", permits->size()},
                            {"valid_ms", valid_for}});
-                self->coordinator_.permits_granted(step, *permits, request_sent_at + valid_for);
+                self->coordinator_.permits_granted(step, executors, *permits,
+                                                   request_sent_at + valid_for);
             } else {
                 log_event(log_level::warning, "advice_failed", {{"job", step.job.value()}});
                 self->coordinator_.permit_request_failed(step);
