--- a/libs/dispatch/src/agent.cpp
+++ b/libs/dispatch/src/agent.cpp
@@ -1,8 +1,6 @@
-#include <algorithm>
 #include <cstdlib>
-#include <utility>
 
-#include "tanagerpaddle/dispatch.hpp"
+#include "lists.hpp"
 
 namespace tanagerpaddle::dispatch {
 
@@ -20,20 +18,6 @@
 constexpr milliseconds max_stop_time{1'000};
 // Smaller changes of the pace do not justify a call to the executor.
 constexpr int min_pace_change_percent = 8;
-// Reports of incarnations that the executor's lists may name next.
-constexpr std::size_t max_kept_reports = 8;
-
-bool contains(const std::vector<running_task>& runs, const std::pair<task_key, run_number>& key) {
-    return std::any_of(runs.begin(), runs.end(), [&](const running_task& run) {
-        return run.run == key.second && run.task == key.first;
-    });
-}
-
-bool contains(const std::vector<finished_task>& runs, const std::pair<task_key, run_number>& key) {
-    return std::any_of(runs.begin(), runs.end(), [&](const finished_task& run) {
-        return run.run == key.second && run.task == key.first;
-    });
-}
 
 }  // namespace
 
@@ -172,206 +156,6 @@
 // ---------------------------------------------------------------------------------------------
 // Executor
 
-void agent::forget_lists() {
-    has_view_ = false;
-    running_.clear();
-    finished_.clear();
-    traits_.clear();
-    sent_pace_.clear();
-    begun_at_.clear();
-    found_runs_.clear();
-    pacer_ = {};
-    sample_ = {};
-    acknowledged_completion_ = completion_number(0);
-    reported_completion_ = completion_number(0);
-}
-
-bool agent::contradicts_lists(const executor_info& info) const {
-    return listed_incarnation_ == info.incarnation && executor_ &&
-           (executor_->id != info.id || executor_->service != info.service);
-}
-
-void agent::keep_report(const executor_info& info) {
-    const auto known = std::find_if(
-        reports_.begin(), reports_.end(),
-        [&](const executor_info& each) { return each.incarnation == info.incarnation; });
-    // A delayed report does not end a drain.
-    const bool was_draining =
-        (known != reports_.end() && known->is_draining) ||
-        (executor_ && executor_->incarnation == info.incarnation && executor_->is_draining);
-    if (known != reports_.end()) {
-        reports_.erase(known);
-    } else if (reports_.size() == max_kept_reports) {
-        reports_.erase(reports_.begin());
-    }
-    reports_.push_back(info);
-    reports_.back().is_draining = was_draining || info.is_draining;
-}
-
-std::optional<executor_info> agent::kept_report(executor_incarnation incarnation) const {
-    const auto found =
-        std::find_if(reports_.begin(), reports_.end(),
-                     [&](const executor_info& each) { return each.incarnation == incarnation; });
-    return found == reports_.end() ? std::nullopt : std::optional(*found);
-}
-
-bool agent::executor_reported(const executor_info& info) {
-    if (contradicts_lists(info)) {
-        return false;
-    }
-    keep_report(info);
-    if (!listed_incarnation_) {
-        if (!executor_ || executor_->incarnation <= info.incarnation) {
-            executor_ = kept_report(info.incarnation);
-            is_vacant_ = false;
-        }
-        return false;
-    }
-    if (*listed_incarnation_ != info.incarnation) {
-        return false;
-    }
-    const auto earlier = std::exchange(executor_, kept_report(info.incarnation));
-    if (!earlier) {
-        return false;  // the next view brings an inventory
-    }
-    const bool has_changed = earlier->capacity != info.capacity || earlier->labels != info.labels ||
-                             earlier->domain != info.domain ||
-                             executor_->is_draining != earlier->is_draining;
-    return has_changed && has_view_;
-}
-
-// Starts that were meant for the previous incarnation may have reached this one, whose id and
-// address may be the same. They and their withdrawals stay pending until its answers resolve them.
-void agent::begin_incarnation(const executor_view& view) {
-    std::vector<run_key> ambiguous;
-    for (const auto& [key, begun_at] : begun_at_) {
-        if (running_.count(key) == 0 && begun_at >= view.requested_at) {
-            ambiguous.push_back(key);  // either incarnation may have answered the start
-        }
-    }
-    if (listed_incarnation_) {
-        record_end(*listed_incarnation_);
-    }
-    forget_lists();
-    listed_incarnation_ = view.incarnation;
-    executor_ = kept_report(view.incarnation);
-    std::erase_if(pending_stops_, [&](const auto& stop) {
-        return !stop.second.is_withdrawal && open_starts_.count(stop.first) == 0;
-    });
-    for (auto& [key, state] : pending_stops_) {
-        send_stop(key, state);  // the confirmation was that of the previous incarnation
-    }
-    for (auto position = pending_starts_.begin(); position != pending_starts_.end();) {
-        const auto& [key, state] = *position;
-        if (state.attempts > 0) {
-            if (open_starts_.count(key) == 0) {
-                ambiguous.push_back(key);
-            }
-            ++position;
-        } else {
-            position = pending_starts_.erase(position);
-        }
-    }
-    for (const auto& key : ambiguous) {
-        if (!contains(view.running, key) && !contains(view.finished, key)) {
-            withdraw_start(key);
-        }
-    }
-}
-
-bool agent::executor_view_received(const executor_view& view) {
-    is_vacant_ = false;
-    is_in_doubt_ = false;
-    const auto ended = listed_incarnation_ != view.incarnation ? listed_incarnation_ : std::nullopt;
-    const auto ages = ended ? run_ages() : std::vector<run_age>{};
-    if (listed_incarnation_ != view.incarnation) {
-        begin_incarnation(view);
-    }
-    if (last_end_ && last_end_->incarnation >= view.incarnation) {
-        last_end_.reset();  // it is alive
-    }
-    const bool is_first = !has_view_ && executor_ && view.epoch == epoch_;
-    if (view.epoch == epoch_) {
-        read_lists(view);
-    }
-    // Otherwise the inventory tells of the end, and of the runs that may have outlived it.
-    if (ended && unsettled_runs().empty()) {
-        orders_.report_executor_terminated(*ended, ages);
-    }
-    return is_first || ended.has_value();
-}
-
-void agent::read_lists(const executor_view& view) {
-    const bool had_view = std::exchange(has_view_, executor_.has_value());
-    // The executor refuses starts of earlier claims from now on.
-    unresolved_starts_.clear();
-    ++view_count_;
-    answered_at_ = time_.now();
-    running_.clear();
-    for (const auto& run : view.running) {
-        const run_key key(run.task, run.run);
-        running_.emplace(key, run);
-        begun_at_.try_emplace(key, answered_at_);
-        if (view_count_ == 1) {
-            found_runs_.insert(key);
-        }
-    }
-    std::vector<finished_task> new_completions;
-    for (const auto& completion : view.finished) {
-        if (completion.number > acknowledged_completion_) {
-            finished_.emplace(completion.number.value(), completion);
-        }
-        if (completion.number > reported_completion_) {
-            new_completions.push_back(completion);
-            reported_completion_ = completion.number;
-            traits_.erase(completion.task);
-            sent_pace_.erase({completion.task, completion.run});
-            begun_at_.erase({completion.task, completion.run});
-        }
-    }
-    resolve_starts(view);
-    resolve_stops(view);
-    send_held_starts();
-    if (!new_completions.empty() && had_view) {
-        orders_.report_finished(view.incarnation, new_completions);
-    }
-    if (executor_) {
-        update_pace();
-    }
-}
-
-std::vector<unsettled_run> agent::unsettled_runs() const {
-    std::map<run_key, bool> is_listed;
-    for (const auto& key : unresolved_starts_) {
-        is_listed[key] = false;
-    }
-    for (const auto& key : open_starts_) {
-        is_listed[key] = false;
-    }
-    for (const auto& [key, state] : pending_starts_) {
-        is_listed[key] = false;
-    }
-    for (const auto& [key, state] : pending_stops_) {
-        if (state.is_withdrawal) {
-            is_listed[key] = false;
-        }
-    }
-    // An inventory with an executor lists its runs itself.
-    if (!executor_) {
-        for (const auto& [key, run] : running_) {
-            is_listed[key] = true;
-        }
-        for (const auto& [number, completion] : finished_) {
-            is_listed[{completion.task, completion.run}] = true;
-        }
-    }
-    std::vector<unsettled_run> runs;
-    for (const auto& [key, listed] : is_listed) {
-        runs.push_back({key.first, key.second, listed});
-    }
-    return runs;
-}
-
 void agent::resolve_starts(const executor_view& view) {
     for (auto position = pending_starts_.begin(); position != pending_starts_.end();) {
         const run_key key = position->first;
@@ -435,65 +219,11 @@
     }
 }
 
-bool agent::executor_unreachable() {
-    const bool is_new = executor_ || listed_incarnation_ || !is_vacant_;
-    is_vacant_ = true;
-    is_in_doubt_ = false;
-    if (!executor_ && !listed_incarnation_) {
-        return is_new;
-    }
-    const auto incarnation = listed_incarnation_ ? *listed_incarnation_ : executor_->incarnation;
-    const auto ages = run_ages();
-    record_end(incarnation);
-    forget_lists();
-    executor_.reset();
-    listed_incarnation_.reset();
-    // Whatever took a call before has ended.
-    pending_starts_.clear();
-    pending_stops_.clear();
-    open_starts_.clear();
-    unresolved_starts_.clear();
-    orders_.report_executor_terminated(incarnation, ages);
-    return is_new;
-}
-
-void agent::record_end(executor_incarnation incarnation) {
-    const bool was_draining = executor_ && executor_->is_draining;
-    if (last_end_ && last_end_->incarnation == incarnation) {
-        last_end_->was_draining = last_end_->was_draining || was_draining;
-    } else if (listed_incarnation_ || !last_end_) {
-        // Otherwise a report alone names it: it comes late, or from another writer.
-        last_end_ = executor_end{incarnation, was_draining, run_ages()};
-    }
-}
-
 void agent::record_begin(const run_key& key) {
     answered_at_ = time_.now();
     begun_at_[key] = answered_at_;
 }
 
-std::vector<run_age> agent::run_ages() const {
-    std::vector<run_age> ages;
-    for (const auto& [key, state] : pending_starts_) {
-        if (state.attempts > 0) {
-            ages.push_back({key.first, key.second, milliseconds(0)});
-        }
-    }
-    for (const auto& [key, state] : pending_stops_) {
-        if (state.is_withdrawal) {
-            ages.push_back({key.first, key.second, milliseconds(0)});
-        }
-    }
-    for (const auto& [key, begun_at] : begun_at_) {
-        const auto age = std::chrono::duration_cast<milliseconds>(answered_at_ - begun_at);
-        const bool is_known = found_runs_.count(key) == 0 || age >= crash_rules{}.suspicion_window;
-        if (is_known) {
-            ages.push_back({key.first, key.second, age});
-        }
-    }
-    return ages;
-}
-
 void agent::start_answered(const task_key& task, run_number run, start_answer answer) {
     const run_key key{task, run};
     open_starts_.erase(key);
