--- a/libs/dispatch/src/agent_incarnations.cpp
+++ b/libs/dispatch/src/agent_incarnations.cpp
@@ -211,6 +211,7 @@
         }
     }
     std::vector<unsettled_run> runs;
+    runs.reserve(is_listed.size());
     for (const auto& [key, listed] : is_listed) {
         runs.push_back({key.first, key.second, listed});
     }
