--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -440,6 +440,9 @@
                              const task_traits& traits) = 0;
     // For the log only.
     virtual void report_crash(const executor_crash& /*crash*/) {}
+    // For the log only: a run is about to be stopped because it has made no progress.
+    virtual void report_stall(const instance_name& /*instance*/, const task_key& /*task*/,
+                              run_number /*run*/, milliseconds /*without_progress*/) {}
     // For the log only: a checkpoint of `bytes` exceeds `max_checkpoint_bytes`. It is left out of
     // the row, so that a task restarts from its beginning after a change of the owner. Reported
     // once for each task.
--- a/libs/dispatch/src/planning.cpp
+++ b/libs/dispatch/src/planning.cpp
@@ -431,7 +431,10 @@
                                       !spec.is_gang &&
                                       !(spec.is_filler && !instance.serving_tasks_by_image.empty());
             const auto limit = std::max(min_stall_timeout, spec.estimate / stall_timeout_divisor);
-            if (is_monitored && instance.observed_at - task.progressed_at >= limit) {
+            const auto without_progress = std::chrono::duration_cast<milliseconds>(
+                instance.observed_at - task.progressed_at);
+            if (is_monitored && without_progress >= limit) {
+                orders.report_stall(instance.name, key, task.run, without_progress);
                 task.last_failed_instance = i;
                 instance.health.failed(key.job, now);
                 stop_task(key, task);
--- a/libs/dispatch_node/src/agent_node.cpp
+++ b/libs/dispatch_node/src/agent_node.cpp
@@ -257,6 +257,8 @@
             view.requested_at = request_sent_at;
             view.epoch = epoch;
             has_new_completions = false;
+            listed_running = view.running.size();
+            listed_finished = view.finished.size();
             log_other_life(view);
             try {
                 if (core.executor_view_received(view)) {
@@ -333,6 +335,11 @@
     }
 
     void report_stop(const task_key& task, run_number run) override {
+        log_event(log_level::info, "run_absent",
+                  {{"task", to_string(task)},
+                   {"run", run.value()},
+                   {"listed_running", listed_running},
+                   {"listed_finished", listed_finished}});
         send({{"t", "stopped"}, {"task", messages::encode(task)}, {"run", run.value()}});
     }
 
@@ -371,6 +378,9 @@
     instant executor_clock_read_at;
     bool has_executor_clock = false;
     bool has_new_completions = false;
+    // Number of runs in the latest lists.
+    std::size_t listed_running = 0;
+    std::size_t listed_finished = 0;
     // Each sync starts the next one; a new claim starts a new sequence and ends the earlier one.
     std::uint64_t sync_sequence = 0;
     bool is_leaving = false;
--- a/libs/dispatch_node/src/owner_session.cpp
+++ b/libs/dispatch_node/src/owner_session.cpp
@@ -364,6 +364,15 @@
     }
 }
 
+void owner_session::report_stall(const instance_name& instance, const task_key& task,
+                                 run_number run, milliseconds without_progress) {
+    log_event(log_level::warning, "task_stalled",
+              {{"task", to_string(task)},
+               {"run", run.value()},
+               {"agent", instance.value()},
+               {"without_progress_ms", without_progress}});
+}
+
 void owner_session::report_unstored_checkpoint(const task_key& task, std::size_t bytes) {
     log_event(log_level::warning, "checkpoint_not_stored",
               {{"task", to_string(task)}, {"bytes", bytes}});
--- a/libs/dispatch_node/src/owner_session.hpp
+++ b/libs/dispatch_node/src/owner_session.hpp
@@ -61,6 +61,8 @@
     void send_traits(const instance_name& instance, const task_key& task,
                      const task_traits& traits) override;
     void report_crash(const executor_crash& crash) override;
+    void report_stall(const instance_name& instance, const task_key& task, run_number run,
+                      milliseconds without_progress) override;
     void report_unstored_checkpoint(const task_key& task, std::size_t bytes) override;
 
 private:
