--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -611,11 +611,12 @@
     void stop_confirmed(const instance_name& instance, const task_key& task, run_number run);
     void runs_finished(const instance_name& instance, executor_incarnation incarnation,
                        const std::vector<finished_task>& completions);
-    // Tasks whose progress changed, and the executor's latest sample. `has_new_view` is false if
-    // the agent has not read its executor's lists since its previous report: the progress of the
-    // other tasks is then unknown, not zero. A run that the coordinator does not expect is stopped.
+    // Tasks whose progress changed, and the executor's latest sample. `has_complete_view` is false
+    // if the agent has not read complete lists of its executor since its previous report: the
+    // progress of the other tasks is then unknown, not zero. A run that the coordinator does not
+    // expect is stopped.
     void progress_reported(const instance_name& instance, const std::vector<running_task>& running,
-                           const interference_sample& sample, bool has_new_view = true);
+                           const interference_sample& sample, bool has_complete_view = true);
     // Interference estimated from the samples of all instances.
     [[nodiscard]] const interference_model& interference() const;
     // Restores the estimates of an earlier owner as an agent has kept them.
@@ -708,6 +709,10 @@
     epoch_number epoch;
     std::vector<running_task> running;
     std::vector<finished_task> finished;
+    // False if runs may have finished that `finished` does not list: an executor returns a limited
+    // number at a time, and the next ones once these are acknowledged. A run that such a view does
+    // not list is then in an unknown state.
+    bool is_complete = true;
 };
 
 class agent {
@@ -762,8 +767,10 @@
     [[nodiscard]] const std::optional<executor_info>& executor() const noexcept {
         return executor_;
     }
-    // Number of views received from executors since the agent's start.
-    [[nodiscard]] std::uint64_t view_count() const noexcept { return view_count_; }
+    // Number of complete views received from executors since the agent's start.
+    [[nodiscard]] std::uint64_t complete_view_count() const noexcept {
+        return complete_view_count_;
+    }
     // The latest measurements of the executor.
     [[nodiscard]] const interference_sample& sample() const noexcept { return sample_; }
     // Highest completion that the executor may discard.
@@ -827,7 +834,8 @@
     // The lists of this incarnation have been read under the current epoch: the executor refuses
     // orders of earlier epochs, so that no run can start that the lists do not contain.
     bool has_view_ = false;
-    std::uint64_t view_count_ = 0;
+    bool has_had_view_ = false;
+    std::uint64_t complete_view_count_ = 0;
     std::map<run_key, order_state> pending_starts_;
     std::map<run_key, order_state> pending_stops_;
     // Runs whose start has been sent and not been answered. Its connection may be to a later
--- a/libs/dispatch/src/agent.cpp
+++ b/libs/dispatch/src/agent.cpp
@@ -210,6 +210,10 @@
             ++position;
             continue;
         }
+        if (!view.is_complete) {
+            ++position;  // the run may have finished
+            continue;
+        }
         position = pending_stops_.erase(position);
         if (state.is_withdrawal) {
             orders_.report_start(key.first, key.second, start_outcome::not_started);
--- a/libs/dispatch/src/agent_incarnations.cpp
+++ b/libs/dispatch/src/agent_incarnations.cpp
@@ -148,14 +148,15 @@
     const bool had_view = std::exchange(has_view_, executor_.has_value());
     // The executor refuses starts of earlier claims from now on.
     unresolved_starts_.clear();
-    ++view_count_;
+    const bool is_first_view = !std::exchange(has_had_view_, true);
+    complete_view_count_ += view.is_complete ? 1 : 0;
     answered_at_ = time_.now();
     running_.clear();
     for (const auto& run : view.running) {
         const run_key key(run.task, run.run);
         running_.emplace(key, run);
         begun_at_.try_emplace(key, answered_at_);
-        if (view_count_ == 1) {
+        if (is_first_view) {
             found_runs_.insert(key);
         }
     }
--- a/libs/dispatch/src/coordinator.cpp
+++ b/libs/dispatch/src/coordinator.cpp
@@ -314,13 +314,13 @@
 
 void coordinator::progress_reported(const instance_name& name,
                                     const std::vector<running_task>& running,
-                                    const interference_sample& sample, bool has_new_view) {
+                                    const interference_sample& sample, bool has_complete_view) {
     const auto index = state_->find_instance(name);
     if (!index) {
         return;
     }
     auto& instance = state_->instances[*index];
-    if (has_new_view) {
+    if (has_complete_view) {
         state_->record_view(instance);
     }
     instance.sample = sample;
--- a/libs/dispatch/src/planning.cpp
+++ b/libs/dispatch/src/planning.cpp
@@ -395,14 +395,15 @@
     mark_dirty(key);
 }
 
-// Time in which nothing is known of an instance, since it or its agent was suspended, slow or cut
-// off, does not count as time without progress.
+// Time in which not all runs of an instance were known does not count as time without progress: the
+// instance or its agent was suspended, slow or cut off, or its lists were incomplete.
 void coordinator::state::record_view(instance_state& instance) {
     const instant now = time.now();
     const auto gap = now - instance.observed_at;
     if (gap > max_view_gap) {
         for (const auto& key : instance.tasks) {
-            find_task(key)->progressed_at += gap - max_view_gap;
+            auto& progressed_at = find_task(key)->progressed_at;
+            progressed_at = std::min(now, progressed_at + (gap - max_view_gap));
         }
     }
     instance.observed_at = now;
@@ -431,8 +432,8 @@
                                       !spec.is_gang &&
                                       !(spec.is_filler && !instance.serving_tasks_by_image.empty());
             const auto limit = std::max(min_stall_timeout, spec.estimate / stall_timeout_divisor);
-            const auto without_progress = std::chrono::duration_cast<milliseconds>(
-                instance.observed_at - task.progressed_at);
+            const auto without_progress =
+                std::chrono::duration_cast<milliseconds>(instance.observed_at - task.progressed_at);
             if (is_monitored && without_progress >= limit) {
                 orders.report_stall(instance.name, key, task.run, without_progress);
                 task.last_failed_instance = i;
--- a/libs/dispatch/tests/random_faults_test.cpp
+++ b/libs/dispatch/tests/random_faults_test.cpp
@@ -218,3 +218,18 @@
     faults.quick_restart = 0.8;
     run_seeds(faults);
 }
+
+// Guards against tasks that start again since their completions were not listed: an executor lists
+// three at a time, and the others once the store has taken these.
+TEST_CASE("no invariant is violated when executors list few completions at a time") {
+    world_options options;
+    options.max_listed_completions = 3;
+    auto faults = all_faults();
+    faults.store_outage = 0.3;
+    faults.slow_write = 0.1;
+    const auto only = number_from("TANAGERPADDLE_SEED", 0);
+    const auto last = only != 0 ? only : number_from("TANAGERPADDLE_SEEDS", seeds);
+    for (std::uint64_t seed = only != 0 ? only : 1; seed <= last; ++seed) {
+        run_scenario(seed, faults, 0, options);
+    }
+}
--- a/libs/dispatch/tests/world.cpp
+++ b/libs/dispatch/tests/world.cpp
@@ -307,6 +307,7 @@
     // State of the invariant checks.
     std::set<task_key> succeeded_tasks;
     std::set<task_key> acknowledged_done;
+    std::map<task_key, instant> last_started;
     std::map<task_key, std::uint32_t> acknowledged_failures;
     std::map<step_key, std::map<run_number, std::string>> gang_checkpoints;
     std::map<task_key, std::set<std::string>> checkpoints;
@@ -393,6 +394,7 @@
 
 void world::state::check_start(std::size_t index, const start_order& order, bool is_late) {
     ++start_count;
+    last_started[order.task] = time.now();
     const auto& job = accepted.at(order.task.job);
     const auto& spec = job.spec.steps.at(order.task.step);
     const std::string what = to_string(order.task) + " run " + std::to_string(order.run.value()) +
@@ -546,6 +548,10 @@
         }
         if (end->second.outcome == run_outcome::succeeded) {
             acknowledged_done.insert(end->second.task);
+            if (last_started[end->second.task] > executor.ended_at[end->first]) {
+                violation("started again after a success that was acknowledged later: " +
+                          to_string(end->second.task));
+            }
         } else if (end->second.outcome == run_outcome::failed) {
             ++acknowledged_failures[end->second.task];
         }
@@ -787,12 +793,15 @@
                     key.first, key.second, std::chrono::duration_cast<milliseconds>(passed));
                 view.running.push_back({key.first, key.second, checkpoint, percent, 0});
             }
-            to_coordinator(instance, [n = instance.name, view](coordinator& target) {
-                target.progress_reported(n, view.running, {});
-            });
             for (const auto& [number, end] : executor.finished) {
-                view.finished.push_back(end);
+                if (view.finished.size() < options.max_listed_completions) {
+                    view.finished.push_back(end);
+                }
             }
+            view.is_complete = view.finished.size() < options.max_listed_completions;
+            to_coordinator(instance, [n = instance.name, view](coordinator& target) {
+                target.progress_reported(n, view.running, {}, view.is_complete);
+            });
             if (instance.core->executor_view_received(view)) {
                 to_coordinator(instance,
                                [n = instance.name, found = instance.core->current_inventory()](
--- a/libs/dispatch/tests/world.hpp
+++ b/libs/dispatch/tests/world.hpp
@@ -24,6 +24,8 @@
     milliseconds unclaimed_runs_end_after = lease_timing{}.expiry_delay();
     // An agent reads the lists of its executor only some time after it was claimed.
     bool delays_first_view = false;
+    // Number of completions that an executor lists at a time.
+    std::size_t max_listed_completions = 500;
 };
 
 // Random faults; probabilities per second unless stated otherwise.
--- a/libs/dispatch_node/src/agent_node.cpp
+++ b/libs/dispatch_node/src/agent_node.cpp
@@ -199,7 +199,7 @@
         reported_progress = std::move(current_progress);
         send({{"t", "beat"},
               {"at", time.now().time_since_epoch().count()},
-              {"views", core.view_count()},
+              {"views", core.complete_view_count()},
               {"sample", messages::encode(core.sample())},
               {"running", std::move(running)}});
     }
@@ -241,6 +241,18 @@
         }
     }
 
+    void log_completeness(const executor_view& view) {
+        listed_running = view.running.size();
+        listed_finished = view.finished.size();
+        if (std::exchange(has_complete_lists, view.is_complete) != view.is_complete) {
+            log_event(view.is_complete ? log_level::info : log_level::warning,
+                      view.is_complete ? "lists_complete" : "lists_incomplete",
+                      {{"running", listed_running},
+                       {"finished", listed_finished},
+                       {"acknowledged", core.acknowledged().value()}});
+        }
+    }
+
     void on_synced(instant request_sent_at, epoch_number epoch, const sync_result& result) {
         const instant now = time.now();
         bool needs_delay = true;
@@ -257,8 +269,7 @@
             view.requested_at = request_sent_at;
             view.epoch = epoch;
             has_new_completions = false;
-            listed_running = view.running.size();
-            listed_finished = view.finished.size();
+            log_completeness(view);
             log_other_life(view);
             try {
                 if (core.executor_view_received(view)) {
@@ -381,6 +392,7 @@
     // Number of runs in the latest lists.
     std::size_t listed_running = 0;
     std::size_t listed_finished = 0;
+    bool has_complete_lists = true;
     // Each sync starts the next one; a new claim starts a new sequence and ends the earlier one.
     std::uint64_t sync_sequence = 0;
     bool is_leaving = false;
--- a/libs/dispatch_node/src/owner_links.cpp
+++ b/libs/dispatch_node/src/owner_links.cpp
@@ -211,10 +211,10 @@
     if (message.contains("views")) {
         view_count = json_input::whole_number<std::uint64_t>(message.at("views"));
     }
-    const bool has_new_view = !view_count || view_count != agent.view_count;
+    const bool has_complete_view = !view_count || view_count != agent.view_count;
     agent.view_count = view_count;
     coordinator_.progress_reported(instance, running, messages::decode_sample(message.at("sample")),
-                                   has_new_view);
+                                   has_complete_view);
     if (may_grant() && coordinator_.has_executor(instance)) {
         agent.runs_end_by = env_.time->now() + env_.timing.expiry_delay();
         send(instance, {{"t", "grant"}, {"at", sent_at.time_since_epoch().count()}});
