dispatch_node: after a look without an answer the next one assumes another executor

Cause: an agent acknowledged ends and extended the lease by the numbers and the clock of the executor that it knew also after a look that timed out. If another one has taken its place behind a cut, it forgets ends that nobody has read, so that finished tasks run again.

Change: every look without an answer counts, also one whose time ran out: the next one acknowledges nothing, extends no lease and returns at once, and starts wait for the lists. An answer of any status is one.

--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -753,8 +753,8 @@
     // coordinator must get an inventory: this is the first view of a reported executor under the
     // current claim, or it shows that the known executor has ended.
     bool executor_view_received(const executor_view& view);
-    // A connection to the executor broke or was refused: another executor may listen at its address
-    // by now. No start is sent until the next lists tell which one does.
+    // The executor did not answer, or a connection to it broke or was refused: another one may
+    // listen at its address by now. No start is sent until the next lists tell which one does.
     void connection_lost() noexcept { is_in_doubt_ = true; }
     // The executor's port refuses connections: none of the instance is alive. Returns true if the
     // coordinator must get an inventory, since this was not known. Call it only while no start is
--- a/libs/dispatch_node/include/tanagerpaddle/dispatch_node.hpp
+++ b/libs/dispatch_node/include/tanagerpaddle/dispatch_node.hpp
@@ -124,8 +124,9 @@
     bool is_answered = false;
     // The connection was refused: no process listens at the executor's address.
     bool is_connection_refused = false;
-    // The executor's host ended the connection before the answer.
-    bool is_connection_lost = false;
+    // No answer came: its host ended the connection, or the time ran out. Another executor may
+    // listen at its address by now.
+    bool is_unanswered = false;
     // Time of the executor's clock when it answered.
     std::int64_t executor_clock_ms = 0;
     executor_view view;
--- a/libs/dispatch_node/src/agent_node.cpp
+++ b/libs/dispatch_node/src/agent_node.cpp
@@ -256,7 +256,7 @@
     void on_synced(instant request_sent_at, epoch_number epoch, const sync_result& result) {
         const instant now = time.now();
         bool needs_delay = true;
-        if (result.is_connection_lost || result.is_connection_refused) {
+        if (result.is_unanswered || result.is_connection_refused) {
             has_executor_clock = false;
             core.connection_lost();
         }
--- a/libs/dispatch_node/tests/lost_connection_test.cpp
+++ b/libs/dispatch_node/tests/lost_connection_test.cpp
@@ -30,7 +30,7 @@
         loop_.after(milliseconds(30), [this, done] {
             sync_result result;
             result.is_answered = !loses_connections;
-            result.is_connection_lost = loses_connections;
+            result.is_unanswered = loses_connections;
             result.view.incarnation = executor_incarnation(1);
             result.view.finished = finished;
             done(result);
