dispatch: the end of an executor is not reported before the runs of the next one

Cause: an agent whose executor had been replaced by one that had reported itself first told that the executor was gone, then sent an inventory with the runs of the next one.

Change: if the lists of the next executor show any run, the inventory alone tells of the end, as it does for unsettled runs.

Result: next_incarnation_test has a case that fails before: the end is reported and both sound runs are stopped.

--- a/libs/dispatch/src/agent_incarnations.cpp
+++ b/libs/dispatch/src/agent_incarnations.cpp
@@ -138,7 +138,7 @@
         read_lists(view);
     }
     // Otherwise the inventory tells of the end, and of the runs that may have outlived it.
-    if (ended && unsettled_runs().empty()) {
+    if (ended && view.running.empty() && view.finished.empty() && unsettled_runs().empty()) {
         orders_.report_executor_terminated(*ended, ages);
     }
     return is_first || ended.has_value();
--- a/libs/dispatch/tests/next_incarnation_test.cpp
+++ b/libs/dispatch/tests/next_incarnation_test.cpp
@@ -100,6 +100,7 @@
     }
     void report_executor_terminated(executor_incarnation life,
                                     const std::vector<run_age>& ages) override {
+        ++terminations;
         current->jobs.executor_terminated(crashed, life, ages);
     }
     void claim(std::uint64_t epoch) {
@@ -137,6 +138,7 @@
     }
 
     int calls = 0;
+    int terminations = 0;
     std::vector<task_key> stop_calls;
 };
 
@@ -252,3 +254,17 @@
     f.current->plan();
     CHECK(f.restarted().size() == 2);
 }
+
+// The owner would end all runs of the instance, and take its time until the inventory for an end.
+TEST_CASE("the end of an executor is not reported before the runs of the next one") {
+    fixture f;
+    f.beside.executor_reported(make_executor(second_life));
+    f.beside.start_answered(task, run, start_answer::started);
+    f.beside.start_answered(second_task, run, start_answer::started);
+    f.deliver_lists(second_life, {listed(task), listed(second_task)});
+    CHECK(f.terminations == 0);
+    CHECK(f.restarted().empty());
+    f.deliver_lists(second_life, {listed(task), listed(second_task)});
+    CHECK(f.restarted().empty());
+    CHECK(f.current->stopped.empty());
+}
