dispatch: an inventory without lists names the runs of the next executor

Cause: a start that was meant for an executor before, and which the next one has carried out, goes on there, but its row names the former incarnation. A new owner that claims the agent while the executor cannot be read gets an inventory without lists. It told of the end of the former executor, and named the runs of the next one only if that one had not reported itself; the owner took them for runs of the former one and queued their tasks at once.

Change: unsettled runs contain all runs that the agent knows of unless the inventory lists them, and those that began since the latest lists.

Result: next_incarnation_test has a case that fails before: both tasks start again.

--- a/libs/dispatch/src/agent_incarnations.cpp
+++ b/libs/dispatch/src/agent_incarnations.cpp
@@ -202,8 +202,14 @@
             is_listed[key] = false;
         }
     }
-    // An inventory with an executor lists its runs itself.
-    if (!executor_) {
+    // Runs that have begun since the latest lists were requested.
+    for (const auto& [key, begun_at] : begun_at_) {
+        if (running_.count(key) == 0) {
+            is_listed[key] = true;
+        }
+    }
+    // An inventory with lists names the others itself.
+    if (!has_view_) {
         for (const auto& [key, run] : running_) {
             is_listed[key] = true;
         }
--- a/libs/dispatch/tests/next_incarnation_test.cpp
+++ b/libs/dispatch/tests/next_incarnation_test.cpp
@@ -268,3 +268,24 @@
     CHECK(f.restarted().empty());
     CHECK(f.current->stopped.empty());
 }
+
+// The row of the run names the executor that it was meant for. The next owner learns from the agent
+// alone that another one has it, also while that one is cut off.
+TEST_CASE("a run that the next executor has is not started again by an owner that cannot see it") {
+    fixture f;
+    f.beside.executor_reported(make_executor(second_life));
+    f.beside.start_answered(task, run, start_answer::started);
+    f.beside.start_answered(second_task, run, start_answer::started);
+    f.deliver_lists(second_life, {listed(task), listed(second_task)});
+    f.deliver_lists(second_life, {listed(task), listed(second_task)});
+    REQUIRE(f.beside.current_inventory().executor.has_value());
+    SUBCASE("all runs are in its lists") {}
+    SUBCASE("a run has finished") {
+        f.deliver_lists(second_life, {listed(task)}, {succeeded(1, second_task)});
+    }
+    f.replace_owner();
+    CHECK(f.restarted().empty());
+    f.time.advance(lease_timing{}.expiry_delay() - milliseconds(10));
+    f.current->plan();
+    CHECK(f.restarted().empty());
+}
