dispatch: an executor that takes the place of another has a claim of its own

Cause: calls that were meant for the executor before reach the next one, which cannot tell them apart: id, address and fencing epoch are the same. Each of them, also a refused start, extends all leases to the longest, 6 s, since its deadline is by another clock; the owner counts 4.8 s from its last grant. A start that is carried out late runs unseen.

Ruled out: the grants themselves (the agent's clock is read anew), and the count after a takeover, which starts with the claim.

Change: the agent uses an executor only under an epoch that no other one was called under. If its lists name another incarnation it asks the owner for a later epoch ("reclaim"; owners of earlier versions do not know it, and the agent closes its link after 1 s, so that they claim it again). From the first lists under that epoch the executor refuses all calls for its predecessor. Inventories tell since when; until the longest lease has passed from then on, or from the end of the predecessor if its successor cannot be read, its runs count as alive. A start of an earlier epoch that these lists do not show was refused, so that a stop of it needs no answer of the executor. Agents that know of no earlier executor, and those of earlier versions, are counted as before.

The simulated executors take calls for their predecessors once their agents use them, with leases by the wrong clock, and are cut off after a restart. Orders that are carried out before the agent has read the next executor's lists cannot be prevented by anyone; the simulation leaves them out.

--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -221,6 +221,14 @@
     std::optional<executor_end> ended{};
     // No executor of the instance is alive, also none that the agent does not know.
     bool is_vacant = false;
+    // What calls that were meant for earlier executors may have done to the leases of the listed
+    // one.
+    struct earlier_calls {
+        // Since when the executor refuses them; unset while it may take them.
+        std::optional<instant> refused_since;
+    };
+    // Unset if the agent knows of no earlier executor, and by agents of earlier versions.
+    std::optional<earlier_calls> earlier{};
 };
 
 enum class start_outcome : std::uint8_t {
@@ -274,10 +282,19 @@
     milliseconds max_kill_time{200};
     // A link without a heartbeat for this long is closed and reconnected.
     milliseconds link_timeout{1'500};
+    // Executors shorten longer leases to this. A call that was meant for an earlier executor
+    // carries a time of another clock and may extend the leases by as much.
+    milliseconds max_lease{6'000};
 
     // Time after the last grant at which no run of an unreachable instance is still alive.
-    [[nodiscard]] milliseconds expiry_delay() const {
-        return milliseconds(static_cast<std::int64_t>(static_cast<double>(lease_duration.count()) *
+    [[nodiscard]] milliseconds expiry_delay() const { return time_to_end(lease_duration); }
+    // The same after the last call that may carry a time of another clock.
+    [[nodiscard]] milliseconds max_expiry_delay() const { return time_to_end(max_lease); }
+
+private:
+    // Upper bound of the time in which all runs end that have a lease of that duration.
+    [[nodiscard]] milliseconds time_to_end(milliseconds lease) const {
+        return milliseconds(static_cast<std::int64_t>(static_cast<double>(lease.count()) *
                                                       (1 + max_clock_drift))) +
                max_kill_time;
     }
@@ -778,6 +795,11 @@
         return acknowledged_completion_;
     }
 
+    // The lists of another incarnation than the first one under the current claim were read: calls
+    // that were meant for that one may still reach this one. The coordinator must claim the agent
+    // again, with a higher epoch; no inventory names an executor until then.
+    [[nodiscard]] bool needs_claim() const;
+
     // Repeats unanswered orders. Call it every 100 ms.
     void tick();
 
@@ -815,6 +837,8 @@
     void resolve_stops(const executor_view& view);
     void send_held_starts();
     void refuse_held_starts();
+    // Drops all orders; the starts that may yet be carried out stay known.
+    void leave_starts_unresolved();
     void record_begin(const run_key& key);
     [[nodiscard]] std::vector<run_age> run_ages() const;
 
@@ -831,8 +855,15 @@
     std::optional<executor_end> last_end_;
     bool is_vacant_ = false;
     bool is_in_doubt_ = false;
-    // The lists of this incarnation have been read under the current epoch: the executor refuses
-    // orders of earlier epochs, so that no run can start that the lists do not contain.
+    // The incarnation that the first lists under the current epoch named. Calls that were sent to
+    // it may reach another one, which takes them: that one is used under a later epoch only.
+    std::optional<executor_incarnation> epoch_incarnation_;
+    // When the listed incarnation was first read under an epoch of its own. It has refused calls
+    // that were meant for earlier ones since.
+    std::optional<instant> refuses_earlier_calls_since_;
+    // The lists of this incarnation have been read under the current epoch, and it is the epoch's
+    // own: the executor refuses orders of earlier epochs, so that no run can start that the lists
+    // do not contain.
     bool has_view_ = false;
     bool has_had_view_ = false;
     std::uint64_t complete_view_count_ = 0;
@@ -841,9 +872,11 @@
     // Runs whose start has been sent and not been answered. Its connection may be to a later
     // executor than the one that it is meant for.
     std::set<run_key> open_starts_;
-    // Runs whose starts an earlier claim left unresolved. The first lists under the current claim
-    // resolve them.
+    // Runs whose starts an earlier claim, or an executor that has ended, left unresolved. The first
+    // lists under a claim of their own incarnation resolve them.
     std::set<run_key> unresolved_starts_;
+    // Those that these lists did not show: the executor refuses the starts from now on.
+    std::set<run_key> refused_starts_;
     std::map<run_key, running_task> running_;
     // When the executor answered the start of each run, or first listed it, and when it last
     // answered any call.
--- a/libs/dispatch/src/agent.cpp
+++ b/libs/dispatch/src/agent.cpp
@@ -34,19 +34,9 @@
         // The new coordinator stops every run that is neither running nor finished; repeating
         // orders of the old one would conflict with that.
         epoch_ = epoch;
+        epoch_incarnation_.reset();
         has_view_ = false;
-        for (const auto& [key, state] : pending_starts_) {
-            if (state.attempts > 0) {
-                unresolved_starts_.insert(key);
-            }
-        }
-        for (const auto& [key, state] : pending_stops_) {
-            if (state.is_withdrawal) {
-                unresolved_starts_.insert(key);
-            }
-        }
-        pending_starts_.clear();
-        pending_stops_.clear();
+        leave_starts_unresolved();
     }
     return true;
 }
@@ -60,6 +50,9 @@
         found.ended->unsettled = unsettled_runs();
     }
     found.is_vacant = is_vacant_;
+    if (last_end_) {
+        found.earlier = {refuses_earlier_calls_since_};
+    }
     if (!has_view_) {
         return found;
     }
@@ -119,6 +112,10 @@
         return;
     }
     const run_key key{task, run};
+    if (refused_starts_.erase(key) != 0) {
+        orders_.report_stop(task, run);
+        return;
+    }
     pending_starts_.erase(key);
     const auto [position, is_new] = pending_stops_.try_emplace(key);
     position->second.is_withdrawal = false;
--- a/libs/dispatch/src/agent_incarnations.cpp
+++ b/libs/dispatch/src/agent_incarnations.cpp
@@ -23,12 +23,17 @@
     sent_pace_.clear();
     begun_at_.clear();
     found_runs_.clear();
+    refused_starts_.clear();
     pacer_ = {};
     sample_ = {};
     acknowledged_completion_ = completion_number(0);
     reported_completion_ = completion_number(0);
 }
 
+bool agent::needs_claim() const {
+    return listed_incarnation_ && epoch_incarnation_ && *listed_incarnation_ != *epoch_incarnation_;
+}
+
 bool agent::contradicts_lists(const executor_info& info) const {
     return listed_incarnation_ == info.incarnation && executor_ &&
            (executor_->id != info.id || executor_->service != info.service);
@@ -96,6 +101,7 @@
         record_end(*listed_incarnation_);
     }
     forget_lists();
+    refuses_earlier_calls_since_.reset();
     listed_incarnation_ = view.incarnation;
     executor_ = kept_report(view.incarnation);
     std::erase_if(pending_stops_, [&](const auto& stop) {
@@ -133,21 +139,30 @@
     if (last_end_ && last_end_->incarnation >= view.incarnation) {
         last_end_.reset();  // it is alive
     }
-    const bool is_first = !has_view_ && executor_ && view.epoch == epoch_;
+    const bool had_view = has_view_;
     if (view.epoch == epoch_) {
+        epoch_incarnation_ = epoch_incarnation_.value_or(view.incarnation);
         read_lists(view);
     }
     // Otherwise the inventory tells of the end, and of the runs that may have outlived it.
     if (ended && view.running.empty() && view.finished.empty() && unsettled_runs().empty()) {
         orders_.report_executor_terminated(*ended, ages);
     }
-    return is_first || ended.has_value();
+    return (!had_view && has_view_) || ended.has_value();
 }
 
 void agent::read_lists(const executor_view& view) {
-    const bool had_view = std::exchange(has_view_, executor_.has_value());
-    // The executor refuses starts of earlier claims from now on.
-    unresolved_starts_.clear();
+    const bool is_own_epoch = !needs_claim();
+    const bool had_view = std::exchange(has_view_, executor_.has_value() && is_own_epoch);
+    if (is_own_epoch) {
+        // The executor refuses calls of earlier claims from now on.
+        for (const auto& key : std::exchange(unresolved_starts_, {})) {
+            if (view.is_complete && !contains(view.running, key) && !contains(view.finished, key)) {
+                refused_starts_.insert(key);
+            }
+        }
+        refuses_earlier_calls_since_ = refuses_earlier_calls_since_.value_or(time_.now());
+    }
     const bool is_first_view = !std::exchange(has_had_view_, true);
     complete_view_count_ += view.is_complete ? 1 : 0;
     answered_at_ = time_.now();
@@ -238,6 +253,7 @@
     forget_lists();
     executor_.reset();
     listed_incarnation_.reset();
+    refuses_earlier_calls_since_.reset();
     // Whatever took a call before has ended.
     pending_starts_.clear();
     pending_stops_.clear();
@@ -247,6 +263,22 @@
     return is_new;
 }
 
+void agent::leave_starts_unresolved() {
+    for (const auto& [key, state] : pending_starts_) {
+        if (state.attempts > 0) {
+            unresolved_starts_.insert(key);
+        }
+    }
+    for (const auto& [key, state] : pending_stops_) {
+        if (state.is_withdrawal) {
+            unresolved_starts_.insert(key);
+        }
+    }
+    pending_starts_.clear();
+    pending_stops_.clear();
+    refused_starts_.clear();
+}
+
 void agent::record_end(executor_incarnation incarnation) {
     const bool was_draining = executor_ && executor_->is_draining;
     if (last_end_ && last_end_->incarnation == incarnation) {
--- a/libs/dispatch/src/coordinator.cpp
+++ b/libs/dispatch/src/coordinator.cpp
@@ -173,10 +173,12 @@
     }
     // The agent takes no grants of earlier owners any more, and this one grants nothing to an agent
     // without an executor.
+    state_->record_earlier_calls(instance, found);
     const instant granted_runs_end_by = state_->time.now() + state_->config.timing.expiry_delay();
     const bool has_grants = instance.is_linked && instance.executor;
     instance.expires_at =
         has_grants ? granted_runs_end_by : std::min(instance.expires_at, granted_runs_end_by);
+    instance.expires_at = std::max(instance.expires_at, instance.earlier_leases_end_by);
     if (!instance.is_linked) {
         instance.is_linked = true;
         instance.linked_at = state_->time.now();
@@ -197,12 +199,28 @@
     state_->requeue_excess_tasks(index);
 }
 
+void coordinator::state::record_earlier_calls(instance_state& instance,
+                                              const inventory& found) const {
+    if (!found.earlier) {
+        return;
+    }
+    const auto refused_since = found.earlier->refused_since;
+    if (refused_since) {
+        instance.earlier_leases_end_by = *refused_since + config.timing.max_expiry_delay();
+    } else if (!instance.may_take_earlier_calls) {
+        // Not counted again from each inventory, so that frequent claims do not keep tasks waiting.
+        instance.earlier_leases_end_by = time.now() + config.timing.max_expiry_delay();
+    }
+    instance.may_take_earlier_calls = !refused_since;
+}
+
 void coordinator::instance_disconnected(const instance_name& name, instant expires_at) {
     const auto index = state_->instance_index(name);
     auto& instance = state_->instances[index];
     instance.is_linked = false;
     instance.expires_at =
         instance.executor ? expires_at : std::min(instance.expires_at, expires_at);
+    instance.expires_at = std::max(instance.expires_at, instance.earlier_leases_end_by);
     const std::vector<task_key> keys(instance.tasks.begin(), instance.tasks.end());
     for (const auto& key : keys) {
         auto& task = *state_->find_task(key);
--- a/libs/dispatch/src/coordinator_state.hpp
+++ b/libs/dispatch/src/coordinator_state.hpp
@@ -252,6 +252,10 @@
     void send_starts(job_write& written);
     void flush_acknowledgements();
 
+    // --- instances (coordinator.cpp)
+    // Until when leases may last by calls that were meant for an earlier executor.
+    void record_earlier_calls(instance_state& instance, const inventory& found) const;
+
     // --- crashes (crashes.cpp)
     void remove_executor(std::size_t instance, const std::vector<run_age>& ages = {},
                          const surviving_runs& survivors = {});
--- a/libs/dispatch/src/crashes.cpp
+++ b/libs/dispatch/src/crashes.cpp
@@ -62,8 +62,9 @@
         }
     }
     instance.executor.reset();
-    // No leases are granted until the next executor has reported itself.
-    instance.expires_at = time.now() + config.timing.expiry_delay();
+    // No leases are granted until the next executor has reported itself, but it may take a call
+    // that was meant for this one.
+    instance.expires_at = time.now() + config.timing.max_expiry_delay();
     if (has_crashed) {
         record_crash(index, std::move(suspects));
     }
--- a/libs/dispatch/src/placement.hpp
+++ b/libs/dispatch/src/placement.hpp
@@ -35,6 +35,10 @@
     instant linked_at;
     // When no run of a disconnected instance can still be alive.
     instant expires_at;
+    // Until when leases may last by calls that were meant for an earlier executor, whatever was
+    // granted, and whether the executor may still take such calls.
+    instant earlier_leases_end_by;
+    bool may_take_earlier_calls = false;
     // Total demand of the tasks assigned to the instance, without the processors of fillers.
     resources committed;
     millicores filler_demand;
--- a/libs/dispatch/tests/foreign_report_test.cpp
+++ b/libs/dispatch/tests/foreign_report_test.cpp
@@ -152,5 +152,8 @@
     CHECK(f.deliver_lists(life));
     CHECK(f.orders.terminated == std::vector{executor_incarnation(2'000)});
     f.orders.terminated.clear();
+    REQUIRE(f.core.needs_claim());
+    REQUIRE(f.core.claim(epoch_number(2)));
+    CHECK(f.deliver_lists(life));
     f.check_is_usable();
 }
--- a/libs/dispatch/tests/world.hpp
+++ b/libs/dispatch/tests/world.hpp
@@ -55,6 +55,9 @@
     // agent has noticed, and reports itself up to 1.1 s later. It carries out starts that were
     // meant for its earlier incarnations.
     double quick_restart = 0;
+    // Share of these restarts after which the executor is cut off from its agent within 2.5 s, for
+    // up to 9 s.
+    double cut_after_restart = 0;
     // Another writer reports an executor of a later incarnation to an agent.
     double foreign_report = 0;
 };
--- a/libs/dispatch_node/src/agent_node.cpp
+++ b/libs/dispatch_node/src/agent_node.cpp
@@ -23,6 +23,8 @@
 constexpr milliseconds registration_retry_delay{250};
 // Consecutive refused connections after which the executor counts as unreachable.
 constexpr int max_refused_connections = 3;
+// Time within which a coordinator answers a request for another claim.
+constexpr milliseconds max_claim_wait{1'000};
 // Time from leave() to its `done`, in which pending orders may still be answered.
 constexpr milliseconds leave_delay{500};
 
@@ -169,8 +171,9 @@
         }
         std::erase(pending, from);
         link = from;
+        claim_requested_for.reset();
         log_event(log_level::info, "coordinator_gained", {{"epoch", epoch.value()}});
-        link->send(messages::dump(messages::encode(core.current_inventory())));
+        link->send(messages::dump(messages::encode(core.current_inventory(), time.now())));
         send_heartbeat();
         // Syncs with the new epoch: runs that the answer does not list can no longer start.
         ++sync_sequence;
@@ -253,6 +256,32 @@
         }
     }
 
+    // Asks the coordinator for a later epoch, which the listed executor alone is called under.
+    void request_claim(executor_incarnation incarnation) {
+        if (!link || claim_requested_for == incarnation) {
+            return;
+        }
+        claim_requested_for = incarnation;
+        log_event(log_level::info, "claim_requested",
+                  {{"lifetime", incarnation.value()}, {"epoch", core.epoch().value()}});
+        send({{"t", "reclaim"}});
+        loop.after(max_claim_wait, [weak = weak_from_this(), incarnation] {
+            const auto self = weak.lock();
+            if (self && self->core.needs_claim() && self->claim_requested_for == incarnation) {
+                self->reconnect();
+            }
+        });
+    }
+
+    // A coordinator that does not know the request claims the agent again on a new connection.
+    void reconnect() {
+        claim_requested_for.reset();
+        if (link) {
+            log_event(log_level::warning, "claim_not_answered", {{"epoch", core.epoch().value()}});
+            std::exchange(link, nullptr)->close();
+        }
+    }
+
     void on_synced(instant request_sent_at, epoch_number epoch, const sync_result& result) {
         const instant now = time.now();
         bool needs_delay = true;
@@ -273,7 +302,7 @@
             log_other_life(view);
             try {
                 if (core.executor_view_received(view)) {
-                    send(messages::encode(core.current_inventory()));
+                    send(messages::encode(core.current_inventory(), time.now()));
                 }
             } catch (const invariant_violation&) {
                 throw;
@@ -281,6 +310,9 @@
                 // The next sync reads the lists again; without it the lease would expire.
                 log_event(log_level::error, "view_unusable", {{"message", failure.what()}});
             }
+            if (core.needs_claim()) {
+                request_claim(view.incarnation);
+            }
             needs_delay = now - request_sent_at < min_sync_duration && !has_new_completions;
         } else if (result.is_connection_refused &&
                    ++refused_connections >= max_refused_connections && !core.has_open_starts()) {
@@ -291,7 +323,7 @@
                            {"has_coordinator", link != nullptr}});
             }
             if (core.executor_unreachable()) {
-                send(messages::encode(core.current_inventory()));
+                send(messages::encode(core.current_inventory(), time.now()));
                 if (is_leaving) {
                     record_executor_end();
                 }
@@ -395,6 +427,8 @@
     bool has_complete_lists = true;
     // Each sync starts the next one; a new claim starts a new sequence and ends the earlier one.
     std::uint64_t sync_sequence = 0;
+    // The incarnation for which another claim was requested.
+    std::optional<executor_incarnation> claim_requested_for;
     bool is_leaving = false;
     int refused_connections = 0;
     // Of the latest report that was logged.
--- a/libs/dispatch_node/src/messages.cpp
+++ b/libs/dispatch_node/src/messages.cpp
@@ -219,7 +219,32 @@
     return end;
 }
 
-json encode(const inventory& found) {
+namespace {
+
+// Longer than any lease.
+constexpr milliseconds max_reported_age{60'000};
+
+// The sender's clock has another origin than the receiver's.
+json encode(const inventory::earlier_calls& earlier, instant now) {
+    json out = json::object();
+    if (earlier.refused_since) {
+        const auto age = std::chrono::duration_cast<milliseconds>(now - *earlier.refused_since);
+        out["refused_ms"] = std::min(age, max_reported_age).count();
+    }
+    return out;
+}
+
+inventory::earlier_calls decode_earlier_calls(const json& in, instant now) {
+    inventory::earlier_calls earlier;
+    if (in.contains("refused_ms")) {
+        earlier.refused_since = now - json_input::duration(in.at("refused_ms"));
+    }
+    return earlier;
+}
+
+}  // namespace
+
+json encode(const inventory& found, instant now) {
     json out{{"t", "inventory"}, {"running", json::array()}, {"finished", json::array()}};
     if (found.executor) {
         out["executor"] = encode(*found.executor);
@@ -230,6 +255,9 @@
     if (found.is_vacant) {
         out["vacant"] = true;
     }
+    if (found.earlier) {
+        out["earlier"] = encode(*found.earlier, now);
+    }
     for (const auto& run : found.running) {
         out["running"].push_back(encode(run));
     }
@@ -239,16 +267,19 @@
     return out;
 }
 
-inventory decode_inventory(const json& in) {
+inventory decode_inventory(const json& in, instant now) {
     inventory found;
     if (in.contains("executor")) {
         found.executor = decode_executor(in.at("executor"));
     }
-    // Agents of earlier versions send neither.
+    // Agents of earlier versions send none of them.
     if (in.contains("ended")) {
         found.ended = decode_executor_end(in.at("ended"));
     }
     found.is_vacant = in.value("vacant", false);
+    if (in.contains("earlier")) {
+        found.earlier = decode_earlier_calls(json_input::object(in.at("earlier")), now);
+    }
     for (const auto& run : json_input::list(in.at("running"))) {
         found.running.push_back(decode_running(run));
     }
--- a/libs/dispatch_node/src/messages.hpp
+++ b/libs/dispatch_node/src/messages.hpp
@@ -23,7 +23,8 @@
 // The ages in a message; empty if it is from an agent of an earlier version, which sends none.
 [[nodiscard]] std::vector<run_age> decode_run_ages(const json& message);
 [[nodiscard]] json encode(const executor_end& end);
-[[nodiscard]] json encode(const inventory& found);
+// Times are sent as ages: the clocks of sender and receiver have other origins.
+[[nodiscard]] json encode(const inventory& found, instant now);
 [[nodiscard]] json encode(const interference_model::pressure_table& pressures);
 
 // Throw nlohmann::json::exception or error(malformed_request).
@@ -47,7 +48,7 @@
 [[nodiscard]] job_phase decode_phase(const json& in);
 [[nodiscard]] finished_task decode_finished(const json& in);
 [[nodiscard]] executor_end decode_executor_end(const json& in);
-[[nodiscard]] inventory decode_inventory(const json& in);
+[[nodiscard]] inventory decode_inventory(const json& in, instant now);
 [[nodiscard]] interference_model::pressure_table decode_pressures(const json& in);
 
 // Serializes a message. Bytes that are not UTF-8 are replaced.
--- a/libs/dispatch_node/src/owner_links.cpp
+++ b/libs/dispatch_node/src/owner_links.cpp
@@ -51,8 +51,7 @@
     agent.link = link;
     agent.connect_failures = 0;
     agent.last_message_at = env_.time->now();
-    const auto claim = claim_epoch(epoch_, ++agent.claim_count);
-    link->send(messages::dump({{"t", "claim"}, {"epoch", claim.value()}}));
+    send_claim(agent);
     std::weak_ptr weak = weak_from_this();
     return {[weak, instance](const std::string& text) {
                 if (const auto self = weak.lock(); self && !self->is_closed_) {
@@ -66,6 +65,11 @@
             }};
 }
 
+void owner_session::send_claim(agent_link& agent) const {
+    const auto claim = claim_epoch(epoch_, ++agent.claim_count);
+    agent.link->send(messages::dump({{"t", "claim"}, {"epoch", claim.value()}}));
+}
+
 void owner_session::disconnect(const instance_name& instance, std::string_view why) {
     auto& agent = agents_.at(instance);
     if (!agent.link) {
@@ -120,6 +124,8 @@
         on_heartbeat(instance, agent, message);
     } else if (!agent.is_claimed) {
         return;
+    } else if (kind == "reclaim") {
+        send_claim(agent);
     } else if (kind == "pressures") {
         on_pressures(instance, agent, message);
     } else if (kind == "started") {
@@ -158,7 +164,7 @@
 
 void owner_session::on_inventory(const instance_name& instance, agent_link& agent,
                                  const json& message) {
-    const auto found = messages::decode_inventory(message);
+    const auto found = messages::decode_inventory(message, env_.time->now());
     agent.is_claimed = true;
     // The agent takes no grants of other owners or earlier links any more.
     agent.runs_end_by = std::min(agent.runs_end_by, env_.time->now() + env_.timing.expiry_delay());
--- a/libs/dispatch_node/src/owner_session.hpp
+++ b/libs/dispatch_node/src/owner_session.hpp
@@ -98,6 +98,8 @@
     void connect(const instance_name& instance);
     eventio::link_handlers connected(const instance_name& instance,
                                      const std::shared_ptr<eventio::message_link>& link);
+    // Claims the agent with a higher epoch than before.
+    void send_claim(agent_link& agent) const;
     void disconnect(const instance_name& instance, std::string_view why);
     void receive(const instance_name& instance, const std::string& text);
     void handle(const instance_name& instance, const json& message);
--- a/libs/dispatch_node/tests/messages_test.cpp
+++ b/libs/dispatch_node/tests/messages_test.cpp
@@ -60,3 +60,27 @@
     CHECK_FALSE(decoded.unsettled[1].is_listed);
     CHECK(decoded.was_draining);
 }
+
+// The sender's clock has another origin than the receiver's.
+TEST_CASE("an inventory tells for how long calls for earlier executors have been refused") {
+    const instant sent_at{milliseconds(50'000)};
+    const instant received_at{milliseconds(900)};
+    inventory found;
+    const auto decoded = [&] {
+        return messages::decode_inventory(messages::encode(found, sent_at), received_at).earlier;
+    };
+    CHECK_FALSE(decoded().has_value());
+    found.earlier.emplace();
+    REQUIRE(decoded().has_value());
+    CHECK_FALSE(decoded()->refused_since.has_value());
+    found.earlier->refused_since = sent_at - milliseconds(300);
+    REQUIRE(decoded().has_value());
+    CHECK(decoded()->refused_since == received_at - milliseconds(300));
+    for (const auto* text : {R"({"earlier":1})", R"({"earlier":{"refused_ms":"x"}})",
+                             R"({"earlier":{"refused_ms":-1}})"}) {
+        CAPTURE(text);
+        auto message = messages::encode(inventory{}, sent_at);
+        message.update(messages::json::parse(text));
+        CHECK_THROWS(static_cast<void>(messages::decode_inventory(message, received_at)));
+    }
+}
