dispatch: a start without an answer outlives the executor that refuses connections

Cause: an agent whose executor refused connections dropped its starts and withdrawals without an answer, as if all that had taken a call were gone. The call is no longer known to anyone, so that its run is found only in the lists.

Change: these starts stay unsettled. The owner keeps their tasks on the instance until the next executor's lists under its own claim have resolved them, or until the longest lease has passed. Tasks whose starts were answered restart at once, as before.

--- a/libs/dispatch/src/agent_incarnations.cpp
+++ b/libs/dispatch/src/agent_incarnations.cpp
@@ -254,12 +254,12 @@
     executor_.reset();
     listed_incarnation_.reset();
     refuses_earlier_calls_since_.reset();
-    // Whatever took a call before has ended.
-    pending_starts_.clear();
-    pending_stops_.clear();
-    open_starts_.clear();
-    unresolved_starts_.clear();
-    orders_.report_executor_terminated(incarnation, ages);
+    // What took a call before has ended, but the next executor may yet take one that was not
+    // answered.
+    leave_starts_unresolved();
+    if (unresolved_starts_.empty()) {
+        orders_.report_executor_terminated(incarnation, ages);
+    }
     return is_new;
 }
 
--- a/libs/dispatch/tests/next_incarnation_test.cpp
+++ b/libs/dispatch/tests/next_incarnation_test.cpp
@@ -325,6 +325,40 @@
     CHECK(f.current->stopped.empty());
 }
 
+// The next executor may yet take the call.
+TEST_CASE("a start without an answer outlives the executor that refuses connections") {
+    fixture f;
+    f.beside.start_answered(second_task, run, start_answer::started);
+    for (int attempt = 0; attempt < 4; ++attempt) {
+        f.beside.start_answered(task, run, start_answer::no_answer);
+    }
+    REQUIRE_FALSE(f.beside.has_open_starts());
+    REQUIRE(f.beside.executor_unreachable());
+    f.current->jobs.instance_claimed(crashed, f.beside.current_inventory());
+    f.current->plan();
+    CHECK(f.restarted() == std::vector{second_task});
+    SUBCASE("the next executor carries it out") {
+        f.beside.executor_reported(make_executor(second_life));
+        f.deliver_lists(second_life, {listed(task)});
+        f.deliver_lists(second_life, {listed(task)});
+        f.deliver_stops();
+        CHECK(f.restarted() == std::vector{second_task});
+    }
+    SUBCASE("the next executor does not") {
+        f.beside.executor_reported(make_executor(second_life));
+        f.deliver_lists(second_life);
+        f.deliver_lists(second_life);
+        f.deliver_stops();
+        CHECK(f.restarted() == std::vector{second_task, task});
+    }
+    SUBCASE("there is no next executor") {
+        f.time.advance(lease_timing{}.max_expiry_delay() + milliseconds(10));
+        f.add_other_instance();
+        f.current->plan();
+        CHECK(f.restarted() == std::vector{second_task, task});
+    }
+}
+
 // A call for the executor before may have extended the leases up to the longest.
 TEST_CASE("runs of an executor that was replaced shortly before count until the longest lease") {
     fixture f;
