dispatch: the age of a run says nothing of a crash that nobody was near

Cause: the agent reported, for an executor that was cut off and ended later, the ages of runs up to its last answer.

Longer ages still clear a task.

--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -183,8 +183,9 @@
     task_key task;
     run_number run;
     // Time from the answer to the start, or from the first list with the run, to the executor's
-    // last answer to any call; 0 for a start that was not answered. Not reported for a run of an
-    // earlier process of the agent that may have begun shortly before.
+    // last answer to any call; 0 for a start that was not answered. Not reported for a run that may
+    // have begun shortly before if an earlier process of the agent has started it, or if the
+    // executor was out of reach before its end.
     milliseconds age{0};
 };
 
--- a/libs/dispatch/src/agent_incarnations.cpp
+++ b/libs/dispatch/src/agent_incarnations.cpp
@@ -290,6 +290,9 @@
 }
 
 std::vector<run_age> agent::run_ages() const {
+    const crash_rules rules;
+    // An executor that was out of reach may have lived on: its runs were older than they seem.
+    const bool was_in_reach = time_.now() - answered_at_ <= rules.unobserved_window;
     std::vector<run_age> ages;
     for (const auto& [key, state] : pending_starts_) {
         if (state.attempts > 0) {
@@ -303,7 +306,8 @@
     }
     for (const auto& [key, begun_at] : begun_at_) {
         const auto age = std::chrono::duration_cast<milliseconds>(answered_at_ - begun_at);
-        const bool is_known = found_runs_.count(key) == 0 || age >= crash_rules{}.suspicion_window;
+        const bool is_known =
+            (was_in_reach && found_runs_.count(key) == 0) || age >= rules.suspicion_window;
         if (is_known) {
             ages.push_back({key.first, key.second, age});
         }
--- a/libs/dispatch/tests/agent_test.cpp
+++ b/libs/dispatch/tests/agent_test.cpp
@@ -274,6 +274,26 @@
     CHECK(ages[1].age == milliseconds(400));
 }
 
+// Guards against a task that is taken for the cause of a crash since its executor, with which it
+// had just begun, was cut off and ended unseen much later.
+TEST_CASE("the age of a run is not reported if its executor was out of reach before its end") {
+    fixture f;
+    f.start();
+    f.core.start_answered(task, first_run, start_answer::started);
+    SUBCASE("it was in reach") {
+        f.time.advance(milliseconds(700));
+        f.core.executor_unreachable();
+        REQUIRE(f.orders.ages_at_end.size() == 1);
+        CHECK(f.orders.ages_at_end[0].age == milliseconds(0));
+    }
+    SUBCASE("it was out of reach") {
+        f.time.advance(milliseconds(3'000));
+        f.core.executor_unreachable();
+        CHECK(f.orders.terminations == 1);
+        CHECK(f.orders.ages_at_end.empty());
+    }
+}
+
 // Guards against a run that stays although its stop was confirmed: the executor may have answered
 // before it carried out the start.
 TEST_CASE("a stop is repeated if the run is still listed a second after its confirmation") {
