--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -599,7 +599,8 @@
     // --- instances ------------------------------------------------------------------------------
     // The agent of `instance` now accepts orders of this coordinator; `found` is its inventory.
     // Called again for each further inventory, such as after the end of an executor. Runs on an
-    // instance without a known executor end at the latest one expiry_delay after the first.
+    // instance without a known executor end at the latest one expiry_delay after the first, or one
+    // max_expiry_delay after the end of an executor whose calls the next one may take.
     void instance_claimed(const instance_name& instance, const inventory& found);
     // The link to the agent is closed. Its runs count as running until `expires_at`, or until the
     // earlier time at which those of an instance without a known executor end.
--- a/libs/dispatch_node/tests/ungranted_claim_test.cpp
+++ b/libs/dispatch_node/tests/ungranted_claim_test.cpp
@@ -42,18 +42,19 @@
     std::optional<instant> claimed_at;
     std::unique_ptr<eventio::message_server> agent = std::make_unique<eventio::message_server>(
         loop, local_endpoint(2), [&](const std::shared_ptr<eventio::message_link>& link) {
-            return eventio::link_handlers{[&, link](const std::string&) {
-                                              if (claimed_at) {
-                                                  return;  // only the claim is answered
-                                              }
-                                              link->send(messages::dump(messages::encode(found, instant{})));
-                                              claimed_at = time.now();
-                                              loop.after(milliseconds(50), [&, link] {
-                                                  agent.reset();
-                                                  link->close();
-                                              });
-                                          },
-                                          [] {}};
+            return eventio::link_handlers{
+                [&, link](const std::string&) {
+                    if (claimed_at) {
+                        return;  // only the claim is answered
+                    }
+                    link->send(messages::dump(messages::encode(found, instant{})));
+                    claimed_at = time.now();
+                    loop.after(milliseconds(50), [&, link] {
+                        agent.reset();
+                        link->close();
+                    });
+                },
+                [] {}};
         });
     entry_node entry(loop, time, store, nullptr,
                      {"second", "life", local_endpoint(4), millicores(1'000), timing});
