dispatch_node: a heartbeat follows each inventory, so that starts find a lease

Cause: the owner orders starts as soon as it knows the executor, but grants leases only in its answers to heartbeats, up to 0.3 s later. Until then the agent refuses each start, and each costs a write. Ruled out: the load of the rows (0.23 s after the ownership was gained) and the claims (all 52 agents at the same 0.1 s). Change: the agent sends a heartbeat right after each inventory. The owner's grant precedes its starts on the same connection. Result: the new case of heartbeat_test fails before (no heartbeat within the interval) and passes now.

--- a/libs/dispatch_node/src/agent_node.cpp
+++ b/libs/dispatch_node/src/agent_node.cpp
@@ -303,6 +303,9 @@
             try {
                 if (core.executor_view_received(view)) {
                     send(messages::encode(core.current_inventory(), time.now()));
+                    // The coordinator may order starts from now on, and the agent refuses them
+                    // until the answer to a heartbeat grants it a lease.
+                    send_heartbeat();
                 }
             } catch (const invariant_violation&) {
                 throw;
--- a/libs/dispatch_node/tests/heartbeat_test.cpp
+++ b/libs/dispatch_node/tests/heartbeat_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 #include "fake_store.hpp"
 #include "loop_support.hpp"
 #include "messages.hpp"
@@ -74,3 +76,40 @@
     eventio::testing::run_for(loop, milliseconds(900));
     CHECK(listed == "1 2 ");
 }
+
+// Guards against starts that the agent refuses: the owner orders them as soon as it knows the
+// executor, but grants leases only in its answers to heartbeats.
+TEST_CASE("a heartbeat follows the first inventory with an executor without waiting its interval") {
+    eventio::event_loop loop;
+    const system_clock time;
+    fake_store store(loop);
+    listing_executor executor(loop);
+    agent_options options{"agent", "life", local_endpoint(0), {}};
+    options.timing.heartbeat_interval = milliseconds(3'600'000);
+    agent_node agent(loop, time, store, executor, options);
+    agent.start();
+    executor_info info;
+    info.id = executor_id("executor");
+    info.incarnation = executor_incarnation(1);
+    agent.executor_reported(info);
+    std::vector<std::string> received;
+    const auto receive = [&](const std::string& text) {
+        const auto message = messages::json::parse(text);
+        const bool has_executor = message.contains("executor") && !message.at("executor").is_null();
+        received.push_back(message.at("t").get<std::string>() + (has_executor ? "+executor" : ""));
+    };
+    eventio::connect_link(loop, local_endpoint(0), milliseconds(5'000),
+                          [&](const std::shared_ptr<eventio::message_link>& link) {
+                              link->send(R"({"t":"claim","epoch":1})");
+                              return eventio::link_handlers{receive, [] {}};
+                          });
+    eventio::testing::run_for(loop, milliseconds(1'000));
+    std::string sequence;
+    for (const auto& kind : received) {
+        sequence += kind + " ";
+    }
+    INFO("received: " << sequence);
+    const auto found = std::find(received.begin(), received.end(), "inventory+executor");
+    REQUIRE(found != received.end());
+    CHECK(std::find(found, received.end(), "beat") != received.end());
+}
