eventio, platform: bounds on what clients can make a process hold

Cause: a client could end a process or lock others out: the read buffer of a connection had no bound (trailers and extensions of a chunk without end), fields of a header were kept while the body came, 8 MiB were allocated for the four bytes that announce a message, sockets that nothing reads grew to megabytes, and the listeners could use up the descriptors together. accept() was tried again at once without a free descriptor.

Change: memory follows the bytes that have arrived, up to the header limit beside the body; fields are released with the header. A budget of the process for requests and one for messages: the largest holder gives up, a request with 503 and Retry-After. Descriptors are shared out over the listeners; a full one closes the connection that has waited longest, never one whose request is with its handler. 3 s for a header, 15 s for a body.

--- a/libs/eventio/include/tanagerpaddle/eventio.hpp
+++ b/libs/eventio/include/tanagerpaddle/eventio.hpp
@@ -28,6 +28,45 @@
 [[nodiscard]] endpoint parse_endpoint(std::string_view text);
 [[nodiscard]] std::string to_string(const endpoint& address);
 
+// ---------------------------------------------------------------------------------------------
+// Limits of a process
+
+// A listener's part of the descriptors that connections may use, in thousandths.
+using listener_share = strong_number<struct listener_share_tag, std::uint32_t>;
+
+// Bounds on what the clients of a process can make it hold. A message is closed, a request refused
+// with 503 or its connection closed, where a bound would be exceeded.
+struct process_limits {
+    // Descriptors of the process; zero stands for its RLIMIT_NOFILE.
+    std::size_t max_descriptors = 0;
+    // Kept for files by the rules of the platform; no listener uses them.
+    std::size_t reserved_descriptors = 200;
+    // Connections of each listener. With the socket buffers of 32 KiB and 4 KiB of header each, a
+    // listener that is full holds 36 MB of a machine of 128 MB.
+    std::size_t max_connections = 1'000;
+    // Bytes of requests that are read or handled, and of responses that are sent: 64 bodies of the
+    // promised 262,144 bytes.
+    std::size_t request_bytes = 16U << 20U;
+    // The same for messages: two of the largest of 8 MiB, and as much again for the others.
+    std::size_t message_bytes = 24U << 20U;
+    // Share of the listener for messages. What the listeners leave is for connections to others.
+    listener_share message_share{150};
+};
+
+struct listener_counts {
+    std::string name;
+    std::size_t capacity = 0;
+    std::size_t connections = 0;
+    // Connections that were not accepted, or were closed to make room for others.
+    std::uint64_t refused = 0;
+};
+
+struct budget_counts {
+    // Requests or messages given up since the start because their bytes exceeded the budget.
+    std::uint64_t released_requests = 0;
+    std::uint64_t released_messages = 0;
+};
+
 // ---------------------------------------------------------------------------------------------
 // Event loop
 
@@ -55,6 +94,12 @@
     // Runs `action` each time the signal is delivered.
     void on_signal(int signal_number, const std::function<void()>& action);
 
+    // Applies to servers and links that are created afterwards.
+    void set_limits(const process_limits& limits);
+    // One row for each listener.
+    [[nodiscard]] std::vector<listener_counts> count_connections() const;
+    [[nodiscard]] budget_counts count_released() const;
+
     struct implementation;
     [[nodiscard]] implementation& internals() noexcept { return *implementation_; }
 
@@ -90,9 +135,18 @@
 using http_handler = std::function<void(http_request, http_responder)>;
 
 struct http_server_options {
+    // The listener in listener_counts.
+    std::string name = "http";
+    listener_share share{500};
+    // Also bounds the trailers of a request, and each line of a chunk's size and extensions.
     std::size_t max_header_bytes = 16'384;
     std::size_t max_body_bytes = 524'288;
+    // Time between requests, and for a response to be taken.
     milliseconds idle_timeout{15'000};
+    // Time from the first byte of a header to its end.
+    milliseconds header_timeout{3'000};
+    // Time from the end of the header to the end of the body.
+    milliseconds body_timeout{15'000};
     std::size_t max_connections = 2'000;
     // Name of the header that carries http_request::timeout in milliseconds.
     std::string timeout_header;
@@ -179,7 +233,8 @@
     message_link& operator=(const message_link&) = delete;
 
     // Queues a message. The link fails, and calls on_closed, if more than 8 MiB are queued because
-    // the peer does not read.
+    // the peer does not read, or if process_limits::message_bytes are used up and this link holds
+    // most of them.
     virtual void send(std::string message) = 0;
     // Closes the connection without calling on_closed.
     virtual void close() = 0;
--- a/libs/eventio/src/event_loop.cpp
+++ b/libs/eventio/src/event_loop.cpp
@@ -1,5 +1,7 @@
 #include <netinet/tcp.h>
+#include <sys/resource.h>
 
+#include <algorithm>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 #include <charconv>
@@ -15,6 +17,17 @@
 // retransmissions.
 constexpr int max_unacknowledged_ms = 2'000;
 constexpr int listen_backlog = 512;
+// Pause after a failed accept. A process without free descriptors fails at once each time, and
+// would use a whole core; a descriptor becomes free within some 10 ms in ordinary operation.
+constexpr milliseconds accept_retry_delay{100};
+// Counted for a process whose number of descriptors is not limited.
+constexpr rlim_t unlimited_descriptors = 1'000'000;
+
+std::size_t descriptors_of_process() {
+    rlimit limit{};
+    const bool is_known = ::getrlimit(RLIMIT_NOFILE, &limit) == 0;
+    return is_known ? std::min(limit.rlim_cur, unlimited_descriptors) : 0;
+}
 
 void schedule_periodic(event_loop& loop, milliseconds period, std::function<void()>& action) {
     loop.after(period, [&loop, period, &action] {
@@ -73,12 +86,17 @@
     socket.set_option(user_timeout(max_unacknowledged_ms), ignored);
 }
 
-tcp::acceptor listen_on(asio::io_context& context, const endpoint& address) {
+tcp::acceptor listen_on(asio::io_context& context, const endpoint& address,
+                        int socket_buffer_bytes) {
     try {
         const auto local = to_asio(address);
         tcp::acceptor acceptor(context);
         acceptor.open(local.protocol());
         acceptor.set_option(tcp::acceptor::reuse_address(true));
+        // Accepted sockets inherit both. Without them a socket grows its buffers to megabytes while
+        // nothing reads.
+        acceptor.set_option(asio::socket_base::receive_buffer_size(socket_buffer_bytes));
+        acceptor.set_option(asio::socket_base::send_buffer_size(socket_buffer_bytes));
         acceptor.bind(local);
         acceptor.listen(listen_backlog);
         return acceptor;
@@ -88,6 +106,60 @@
     }
 }
 
+accept_loop::accept_loop(tcp::acceptor acceptor, std::shared_ptr<connection_pool> pool,
+                         std::function<void(tcp::socket)> on_accepted)
+    : acceptor_(std::move(acceptor)),
+      retry_timer_(acceptor_.get_executor()),
+      pool_(std::move(pool)),
+      on_accepted_(std::move(on_accepted)) {}
+
+void accept_loop::run() {
+    acceptor_.async_accept([self = shared_from_this()](error_code failure, tcp::socket socket) {
+        if (self->is_closed_ || failure == asio::error::operation_aborted) {
+            return;
+        }
+        if (failure) {
+            // Out of descriptors or memory, mostly.
+            self->pool_->count_refused();
+            self->pool_->close_one();
+            self->retry_timer_.expires_after(accept_retry_delay);
+            self->retry_timer_.async_wait([self](error_code cancelled) {
+                if (!cancelled && !self->is_closed_) {
+                    self->run();
+                }
+            });
+            return;
+        }
+        const on_scope_exit accept_next([&self] {
+            if (!self->is_closed_) {
+                self->run();
+            }
+        });
+        if (self->pool_->make_room()) {
+            self->on_accepted_(std::move(socket));
+        } else {
+            self->pool_->count_refused();
+        }
+    });
+}
+
+void accept_loop::close() {
+    is_closed_ = true;
+    error_code ignored;  // a failure to close needs no handling
+    acceptor_.close(ignored);
+    retry_timer_.cancel();
+}
+
+std::shared_ptr<connection_pool> event_loop::implementation::make_pool(
+    const std::string& name, listener_share share, std::size_t max_connections) {
+    const auto descriptors =
+        limits.max_descriptors > 0 ? limits.max_descriptors : descriptors_of_process();
+    auto pool = std::make_shared<connection_pool>(
+        name, capacity_of(limits, descriptors, share, max_connections));
+    pools.push_back(pool);
+    return pool;
+}
+
 event_loop::event_loop() : implementation_(std::make_unique<implementation>()) {}
 event_loop::~event_loop() = default;
 
@@ -140,4 +212,25 @@
     wait_for_signal(set, action);
 }
 
+void event_loop::set_limits(const process_limits& limits) {
+    implementation_->limits = limits;
+    implementation_->request_budget = std::make_shared<byte_budget>(limits.request_bytes);
+    implementation_->message_budget = std::make_shared<byte_budget>(limits.message_bytes);
+}
+
+std::vector<listener_counts> event_loop::count_connections() const {
+    std::vector<listener_counts> counts;
+    for (const auto& each : implementation_->pools) {
+        if (const auto pool = each.lock()) {
+            counts.push_back(pool->counts());
+        }
+    }
+    return counts;
+}
+
+budget_counts event_loop::count_released() const {
+    return {implementation_->request_budget->released(),
+            implementation_->message_budget->released()};
+}
+
 }  // namespace tanagerpaddle::eventio
--- a/libs/eventio/src/http_client.cpp
+++ b/libs/eventio/src/http_client.cpp
@@ -4,6 +4,7 @@
 #include <deque>
 #include <optional>
 
+#include "http_body.hpp"
 #include "loop_internals.hpp"
 
 namespace tanagerpaddle::eventio {
@@ -16,6 +17,11 @@
 // Idle connections are not reused after this time, since the peer may have closed them.
 constexpr milliseconds max_idle_time{8'000};
 constexpr std::size_t max_response_body_bytes = 16U << 20U;
+// As for requests: bounds the header, and with the read buffer also trailers and the extensions of
+// a chunk.
+constexpr std::uint32_t max_response_header_bytes = 16'384;
+// Bodies pass through the buffer; beyond this size larger reads save no more calls.
+constexpr std::size_t max_read_buffer_bytes = 65'536;
 
 struct pending_call {
     http_call request;
@@ -127,6 +133,7 @@
 
     void read() {
         parser_.emplace();
+        parser_->header_limit(max_response_header_bytes);
         parser_->body_limit(max_response_body_bytes);
         http::async_read(stream_, buffer_, *parser_,
                          [self = shared_from_this()](error_code failure, std::size_t) {
@@ -174,8 +181,8 @@
 
     std::weak_ptr<http_client::state> client_;
     beast::tcp_stream stream_;
-    beast::flat_buffer buffer_;
-    std::optional<http::response_parser<http::string_body>> parser_;
+    beast::flat_buffer buffer_{max_read_buffer_bytes};
+    std::optional<http::response_parser<arriving_body>> parser_;
     http::request<http::string_body> request_;
     std::optional<pending_call> call_;
     system_clock time_;
--- a/libs/eventio/src/messages.cpp
+++ b/libs/eventio/src/messages.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <array>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
@@ -11,6 +12,11 @@
 
 constexpr std::size_t max_message_bytes = 8U << 20U;
 constexpr std::size_t max_queued_bytes = 8U << 20U;
+// Memory follows the bytes of a message that have arrived, in steps of at least this size; most
+// messages need one step.
+constexpr std::size_t min_read_step = 16'384;
+// For links that were accepted, as those of HTTP servers are bounded: enough for 18 MB/s at 3.4 ms.
+constexpr int socket_buffer_bytes = 65'536;
 
 std::uint32_t decode_length(const std::array<unsigned char, 4>& bytes) {
     return (std::uint32_t{bytes[0]} << 24U) | (std::uint32_t{bytes[1]} << 16U) |
@@ -29,9 +35,28 @@
 
 class tcp_link final : public message_link, public std::enable_shared_from_this<tcp_link> {
 public:
-    explicit tcp_link(tcp::socket socket) : socket_(std::move(socket)) {
+    // `pool` is null for a link that this process has opened.
+    tcp_link(tcp::socket socket, std::shared_ptr<byte_budget> budget,
+             std::shared_ptr<connection_pool> pool)
+        : socket_(std::move(socket)), budget_(std::move(budget)), pool_(std::move(pool)) {
         set_connection_options(socket_);
     }
+    ~tcp_link() override { leave_limits(); }
+
+    // Called before the link is passed on, which may send at once.
+    void join_limits() {
+        const auto close_socket = [weak = weak_from_this()] {
+            if (const auto self = weak.lock()) {
+                // The pending read fails, and closes the link in a callback of its own.
+                error_code ignored;  // closing a failed connection may itself fail
+                self->socket_.close(ignored);
+            }
+        };
+        holder_ = budget_->add(close_socket);
+        if (pool_) {
+            number_ = pool_->add(time_.now(), close_socket);
+        }
+    }
 
     void start(link_handlers handlers) {
         handlers_ = std::move(handlers);
@@ -51,6 +76,7 @@
         if (write_buffer_.empty()) {
             write();
         }
+        hold();
     }
 
     void close() override {
@@ -58,6 +84,7 @@
         handlers_ = {};
         error_code ignored;  // closing a failed connection may itself fail
         socket_.close(ignored);
+        leave_limits();
     }
 
 private:
@@ -69,34 +96,68 @@
                     self->fail();
                     return;
                 }
+                if (self->pool_ && !self->has_received_) {
+                    self->pool_->set_phase(self->number_, connection_phase::reading,
+                                           self->time_.now());
+                }
+                self->message_.clear();
                 self->read_body();
             });
     }
 
+    // Reads at most as many bytes again as have arrived.
     void read_body() {
-        message_.resize(decode_length(length_prefix_));
-        asio::async_read(socket_, asio::buffer(message_),
+        const std::size_t announced = decode_length(length_prefix_);
+        const auto arrived = message_.size();
+        if (arrived >= announced) {
+            on_message();
+            return;
+        }
+        message_.resize(std::min(announced, arrived + std::max(arrived, min_read_step)));
+        asio::async_read(socket_,
+                         asio::buffer(message_.data() + arrived, message_.size() - arrived),
                          [self = shared_from_this()](error_code failure, std::size_t) {
                              if (failure) {
                                  self->fail();
                                  return;
                              }
-                             // Copied because the handler may close the link, which destroys the
-                             // stored handlers.
-                             const auto handle = self->handlers_.on_message;
-                             if (handle) {
-                                 try {
-                                     handle(self->message_);
-                                 } catch (...) {
-                                     // The rest of the stream may depend on this message.
-                                     self->fail();
-                                     throw;
-                                 }
-                             }
-                             if (!self->is_closed_) {
-                                 self->read_length();
-                             }
+                             self->read_body();
                          });
+        hold();
+    }
+
+    void on_message() {
+        has_received_ = true;
+        if (pool_) {
+            pool_->set_phase(number_, connection_phase::linked, time_.now());
+        }
+        // Copied because the handler may close the link, which destroys the stored handlers.
+        const auto handle = handlers_.on_message;
+        if (handle) {
+            try {
+                handle(message_);
+            } catch (...) {
+                // The rest of the stream may depend on this message.
+                fail();
+                throw;
+            }
+        }
+        if (message_.capacity() > min_read_step) {
+            message_ = {};
+        }
+        if (!is_closed_) {
+            hold();
+            read_length();
+        }
+    }
+
+    void hold() { budget_->set(holder_, message_.capacity() + queued_bytes_, true); }
+
+    void leave_limits() {
+        budget_->remove(holder_);
+        if (pool_) {
+            pool_->remove(number_);
+        }
     }
 
     void write() {
@@ -105,6 +166,7 @@
                           [self = shared_from_this()](error_code failure, std::size_t) {
                               self->queued_bytes_ -= self->write_buffer_.size();
                               self->write_buffer_.clear();
+                              self->hold();
                               if (failure) {
                                   self->fail();
                               } else if (!self->queued_frames_.empty()) {
@@ -131,41 +193,39 @@
     std::string queued_frames_;
     std::string write_buffer_;
     std::size_t queued_bytes_ = 0;
+    std::shared_ptr<byte_budget> budget_;
+    std::shared_ptr<connection_pool> pool_;
+    holder_number holder_;
+    connection_number number_;
+    system_clock time_;
+    bool has_received_ = false;
     bool is_closed_ = false;
 };
 
 }  // namespace
 
-struct message_server::state : std::enable_shared_from_this<message_server::state> {
-    state(event_loop& loop, const endpoint& address, accept_handler accept_callback)
-        : acceptor(listen_on(loop.internals().context, address)),
-          on_accept(std::move(accept_callback)) {}
-
-    void accept() {
-        acceptor.async_accept([self = shared_from_this()](error_code failure, tcp::socket socket) {
-            if (failure == asio::error::operation_aborted) {
-                return;
-            }
-            if (!failure) {
-                auto link = std::make_shared<tcp_link>(std::move(socket));
-                link->start(self->on_accept(link));
-            }
-            self->accept();
-        });
-    }
-
-    tcp::acceptor acceptor;
-    accept_handler on_accept;
+struct message_server::state {
+    std::shared_ptr<accept_loop> accepting;
 };
 
 message_server::message_server(event_loop& loop, const endpoint& address, accept_handler on_accept)
-    : state_(std::make_shared<state>(loop, address, std::move(on_accept))) {
-    state_->accept();
+    : state_(std::make_shared<state>()) {
+    auto& internals = loop.internals();
+    auto pool = internals.make_pool("messages", internals.limits.message_share,
+                                    internals.limits.max_connections);
+    state_->accepting = std::make_shared<accept_loop>(
+        listen_on(internals.context, address, socket_buffer_bytes), pool,
+        [pool, budget = internals.message_budget,
+         on_accept = std::move(on_accept)](tcp::socket socket) {
+            auto link = std::make_shared<tcp_link>(std::move(socket), budget, pool);
+            link->join_limits();
+            link->start(on_accept(link));
+        });
+    state_->accepting->run();
 }
 
 message_server::~message_server() {
-    error_code ignored;  // a failure to close needs no handling
-    state_->acceptor.close(ignored);
+    state_->accepting->close();
 }
 
 void connect_link(event_loop& loop, const endpoint& peer, milliseconds connect_timeout,
@@ -180,13 +240,15 @@
         }
     });
     socket->async_connect(
-        to_asio(peer), [socket, timer, on_connected = std::move(on_connected)](error_code failure) {
+        to_asio(peer), [socket, timer, budget = loop.internals().message_budget,
+                        on_connected = std::move(on_connected)](error_code failure) {
             timer->cancel();
             if (failure) {
                 on_connected(nullptr);
                 return;
             }
-            auto link = std::make_shared<tcp_link>(std::move(*socket));
+            auto link = std::make_shared<tcp_link>(std::move(*socket), budget, nullptr);
+            link->join_limits();
             link->start(on_connected(link));
         });
 }
--- a/libs/settings/tests/pages_test.cpp
+++ b/libs/settings/tests/pages_test.cpp
@@ -8,9 +8,13 @@
 
 using namespace tanagerpaddle;
 
-// Operators read the page instead of the table; an outdated page names wrong keys and limits.
+// Operators read the page instead of the table; an outdated page names wrong keys and limits. The
+// section on the node, which has settings of its own, is checked by platform_adapter.settings_test.
 TEST_CASE("docs/settings.md is the reference of the table of keys") {
-    const std::string expected = markdown_reference();
+    const std::string page = testing::read_page("settings.md");
+    const auto node_section = page.find("\n## The node on the platform\n");
+    REQUIRE(node_section != std::string::npos);
+    const std::string expected = markdown_reference() + page.substr(node_section);
     INFO("to update the page: TANAGERPADDLE_UPDATE_PAGES=1 settings_test");
     CHECK(testing::committed_page("settings.md", expected) == expected);
 }
