dispatch: reserve capacity for long-running tasks without a run

Two gates held it back: its step was sorted last, and each gap that became free was smaller than its demand and was taken by a short task in the same pass. Refused starts began its wait anew.

Change: long-running steps go first in their priority. A task without a run for 1 s gets a reservation on the instance where its demand fits soonest; after 2.5 s batch tasks there are preempted through stop_task. Gangs, long-running tasks, higher priorities and tasks beyond max_unavailable are never preempted. At most a quarter of the instances is reserved for tasks that have waited less than 2.5 s; later ones are not bound, and tasks share reserved instances. The time without a run counts from the end of the last run, or from the last view of an instance that expired. No long-running task starts for 300 ms on an instance that has refused a start. can_start is now obstacle_of, whose answers the new event task_waiting counts by instance. Key scheduling.long_running_reservation, on by default.

Result: dispatch.long_running_capacity_test.

--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -437,6 +437,18 @@
     std::vector<suspect> suspects;
 };
 
+// Why a long-running task has no run; for the log.
+struct waiting_task {
+    task_key task;
+    // Number of tasks of its step that have no run.
+    std::size_t tasks_of_step = 0;
+    milliseconds without_run{0};
+    // What the task waits for: "capacity" if it is ready to be placed.
+    std::string_view waits_for;
+    // For capacity: number of instances by the first condition that each does not meet.
+    std::vector<std::pair<std::string_view, std::size_t>> instances_by_obstacle;
+};
+
 // Orders that leave the coordinator.
 class coordinator_orders {
 public:
@@ -465,6 +477,14 @@
     // the row, so that a task restarts from its beginning after a change of the owner. Reported
     // once for each task.
     virtual void report_unstored_checkpoint(const task_key& /*task*/, std::size_t /*bytes*/) {}
+    // For the log only: nothing but the long-running task starts on the instance until then.
+    virtual void report_reservation(const instance_name& /*instance*/, const task_key& /*task*/,
+                                    instant /*until*/) {}
+    // For the log only: tasks are about to be stopped so that the long-running task fits.
+    virtual void report_preemption(const instance_name& /*instance*/, const task_key& /*task*/,
+                                   const std::vector<task_key>& /*stopped*/) {}
+    // For the log only: at most once a second for each step.
+    virtual void report_waiting_task(const waiting_task& /*waiting*/) {}
 };
 
 // How the coordinator recognises a task that crashes the executors that start it. Such a task
@@ -543,6 +563,27 @@
     std::size_t min_moves = 4;
 };
 
+// How capacity is found for long-running tasks that have no run. One must run again within 6 s of
+// the end of its last run; the times below leave 2.5 s for the stops (0.9 s), the write and the
+// start.
+struct long_running_rules {
+    // Long-running tasks go before others of their priority, and capacity is reserved for them.
+    bool is_enabled = true;
+    // Time without a run after which an instance is reserved.
+    milliseconds max_wait{1'000};
+    // Further time for which the ends of the tasks there are awaited before some are preempted.
+    milliseconds max_wait_for_ends{1'500};
+    // A reservation ends after this time, and another instance may be chosen.
+    milliseconds reservation_time{4'000};
+    // Share of the instances that may be reserved at a time, at least one. It does not hold for a
+    // task that has waited for both times above: after the loss of half of the instances, tasks
+    // that need more of them would miss the 6 s.
+    double max_reserved_share = 0.25;
+    // No long-running task starts for this long on an instance that has refused a start: one
+    // heartbeat, after which an agent that had no lease has one.
+    milliseconds pause_after_refusal{300};
+};
+
 // Decides what runs where for all jobs of a system. The caller ensures that only one process at a
 // time writes progress rows (see libs/dispatch_node). All state needed after a takeover is in the
 // rows: add_job and restore rebuild it, instance_claimed adds what agents report.
@@ -559,6 +600,7 @@
         std::uint32_t tasks_per_row = max_tasks_per_row;
         filler_rules fillers;
         crash_rules crashes;
+        long_running_rules long_running;
     };
 
     coordinator(options settings, const clock& time, coordinator_orders& orders);
--- a/libs/dispatch/src/coordinator.cpp
+++ b/libs/dispatch/src/coordinator.cpp
@@ -36,7 +36,9 @@
 std::size_t coordinator::state::instance_index(const instance_name& name) {
     const auto [position, is_new] = index_by_name.try_emplace(name, instances.size());
     if (is_new) {
-        instances.emplace_back().name = name;
+        auto& added = instances.emplace_back();
+        added.name = name;
+        added.index = position->second;
     }
     return position->second;
 }
@@ -64,6 +66,7 @@
 
 void coordinator::state::mark_begun(const task_key& key, task_state& task) {
     task.has_begun = true;
+    task.without_run_since.reset();
     mark_started(*find_job(key.job));
 }
 
@@ -298,6 +301,9 @@
         return;
     }
     const auto& executor = state_->instances[*index].executor;
+    if (outcome == start_outcome::not_started) {
+        state_->instances[*index].refused_at = state_->time.now();
+    }
     if (outcome == start_outcome::bad_permit && executor) {
         state_->permits_by_step[{key.job, key.occurrence, key.step}].forget(executor->id);
     }
--- a/libs/dispatch/src/coordinator_state.hpp
+++ b/libs/dispatch/src/coordinator_state.hpp
@@ -7,6 +7,7 @@
 #include <unordered_set>
 
 #include "crashes.hpp"
+#include "long_running_reservation.hpp"
 #include "permits.hpp"
 #include "placement.hpp"
 #include "tanagerpaddle/dispatch.hpp"
@@ -49,6 +50,8 @@
     // Runs other than the current one that are being stopped, and the instance of the newest.
     std::uint32_t orphaned_runs = 0;
     std::optional<std::size_t> orphan_instance;
+    // Since when the task is known to have no run; unset while it has one, or may have one.
+    std::optional<instant> without_run_since;
     crash_history crashes;
 
     [[nodiscard]] bool occupies_instance() const noexcept {
@@ -145,6 +148,8 @@
 };
 
 [[nodiscard]] task_traits traits_of(const step_spec& spec);
+// What a task commits on its instance: a filler no processors.
+[[nodiscard]] resources reserved_resources(const step_spec& spec);
 // Assigns the tasks of a job to rows, in the order occurrence, step, index; see progress.cpp.
 void lay_out_rows(job_state& job, std::uint32_t tasks_per_row);
 [[nodiscard]] std::uint32_t row_of(const job_state& job, const task_key& key);
@@ -279,7 +284,32 @@
                                                         placement_context context);
     [[nodiscard]] bool is_quiet(const instance_state& instance) const;
 
-    // --- placement (planning.cpp)
+    // --- capacity for long-running tasks (long_running.cpp)
+    // True if tasks of the step go before others of their priority.
+    [[nodiscard]] bool has_precedence(const step_spec& spec) const;
+    // The runs of an instance that is not reachable ended at some time since it was last observed.
+    void record_unreachable_runs(const instance_state& instance);
+    void release_void_reservations();
+    void place_reserved_tasks(const ready_step& step);
+    // Reserves instances for tasks of the steps, none of which has found capacity in this pass.
+    void reserve_capacity(const std::vector<ready_step>& steps);
+    // Returns false if no instance can be reserved for the task.
+    bool reserve_for(const ready_step& step, std::uint32_t index,
+                     std::vector<reservable_instance>& views);
+    // Preempts tasks on the instance reserved for the task if their ends were awaited too long.
+    void preempt_overdue(const ready_step& step, std::uint32_t index);
+    void preempt(const capacity_plan& plan, const task_key& task);
+    [[nodiscard]] capacity_holder holder_of(const task_key& key) const;
+    [[nodiscard]] reservable_instance view_of(std::size_t instance) const;
+    [[nodiscard]] std::vector<reservable_instance> view_instances(
+        const placement_context& context) const;
+    [[nodiscard]] capacity_request request_for(const ready_step& step, std::uint32_t index) const;
+    [[nodiscard]] placement_context make_context(const ready_step& step);
+    // Reports the long-running tasks that have had no run for long, at most once a second.
+    void report_waiting_tasks();
+    void report_waiting_step(job_state& job, std::uint32_t occurrence, std::uint32_t step);
+
+    // --- placement (planning.cpp, stalls.cpp)
     void release_due_occurrences();
     void expire_instances();
     void place_ready_steps();
@@ -318,6 +348,10 @@
     // Smallest filler demand in millicores for which the current pass found no instance, by image
     // and by whether the step has to leave room for the serving tasks' load.
     std::map<std::pair<std::string, bool>, std::int64_t> unplaceable_fillers;
+    long_running_reservations reservations;
+    // No instance could be reserved for some task; not tried again before.
+    instant next_reservation_at;
+    instant next_waiting_report_at;
 };
 
 }  // namespace tanagerpaddle::dispatch
--- a/libs/dispatch/src/crashes.cpp
+++ b/libs/dispatch/src/crashes.cpp
@@ -125,6 +125,7 @@
     const std::vector<task_key> keys(instance.tasks.begin(), instance.tasks.end());
     auto suspects = collect_suspects(index, keys, {});
     suspects.is_unreachable = true;
+    record_unreachable_runs(instance);
     clear_instance(index);
     instance.executor.reset();
     for (auto& suspect : suspects.tasks) {
--- a/libs/dispatch/src/placement.cpp
+++ b/libs/dispatch/src/placement.cpp
@@ -1,6 +1,7 @@
 #include "placement.hpp"
 
 #include <algorithm>
+#include <array>
 #include <tuple>
 
 namespace tanagerpaddle::dispatch {
@@ -231,8 +232,9 @@
 }
 
 bool precedes(const ready_step& a, const ready_step& b) {
-    return std::tuple(a.rules.priority, a.rank, a.core_seconds_left, a.objective, a.key) <
-           std::tuple(b.rules.priority, b.rank, b.core_seconds_left, b.objective, b.key);
+    return std::tuple(a.rules.priority, !a.has_precedence, a.rank, a.core_seconds_left, a.objective,
+                      a.key) < std::tuple(b.rules.priority, !b.has_precedence, b.rank,
+                                          b.core_seconds_left, b.objective, b.key);
 }
 
 bool is_eligible(const executor_info& executor, const ready_step& step) {
@@ -242,34 +244,97 @@
            spec.demand.fits_in(executor.capacity);
 }
 
+namespace {
+
+// The first condition that the instance does not meet for any start.
+placement_obstacle obstacle_to_starts(const instance_state& instance,
+                                      const placement_context& context) {
+    if (!instance.is_linked) {
+        return placement_obstacle::not_linked;
+    }
+    if (!instance.executor) {
+        return placement_obstacle::no_executor;
+    }
+    if (context.now - instance.observed_at > max_view_age) {
+        return placement_obstacle::stale_view;
+    }
+    if (instance.executor->is_draining) {
+        return placement_obstacle::draining;
+    }
+    return context.evacuated->count(instance.executor->domain) != 0 ? placement_obstacle::evacuated
+                                                                    : placement_obstacle::none;
+}
+
+// The first reason to keep the step from the instance whatever its capacity.
+placement_obstacle obstacle_to_step(const instance_state& instance, const ready_step& step,
+                                    const placement_context& context) {
+    if (!is_eligible(*instance.executor, step)) {
+        return placement_obstacle::not_eligible;
+    }
+    if (instance.isolated_task && instance.isolated_task != context.isolated_task) {
+        return placement_obstacle::isolated;
+    }
+    if (!context.checks_capacity_only && instance.health.is_quarantined(context.now)) {
+        return placement_obstacle::quarantined;
+    }
+    const bool is_reserved =
+        !context.checks_capacity_only && instance.is_reserved && step.rules.priority > 0;
+    const bool is_admitted =
+        context.reservations == nullptr ||
+        context.reservations->admits(instance.index, context.task, step.rules.priority,
+                                     step.has_precedence, step.spec->demand, instance.free());
+    if (is_reserved || !is_admitted) {
+        return placement_obstacle::reserved;
+    }
+    if (!has_permit(*instance.executor, context)) {
+        return placement_obstacle::no_permit;
+    }
+    if (!context.rack.empty() && !has_label(*instance.executor, context.rack.value())) {
+        return placement_obstacle::other_rack;
+    }
+    if (step.spec->max_per_executor != 0 &&
+        count_step_tasks(instance, step.key) >= step.spec->max_per_executor) {
+        return placement_obstacle::spread_limit;
+    }
+    const bool has_refused = step.has_precedence && instance.refused_at &&
+                             context.now - *instance.refused_at < context.pause_after_refusal;
+    return has_refused ? placement_obstacle::refused_start : placement_obstacle::none;
+}
+
+}  // namespace
+
+std::string_view name(placement_obstacle obstacle) noexcept {
+    static constexpr std::array<std::string_view, 15> names{
+        "none",      "not_linked",   "no_executor",  "stale_view",    "draining",
+        "evacuated", "not_eligible", "isolated",     "quarantined",   "reserved",
+        "no_permit", "other_rack",   "spread_limit", "refused_start", "no_capacity"};
+    return names.at(static_cast<std::size_t>(obstacle));
+}
+
 bool accepts_starts(const instance_state& instance, const placement_context& context) {
-    return instance.is_linked && context.now - instance.observed_at <= max_view_age &&
-           instance.executor && !instance.executor->is_draining &&
-           context.evacuated->count(instance.executor->domain) == 0;
+    return obstacle_to_starts(instance, context) == placement_obstacle::none;
 }
 
 bool has_permit(const executor_info& executor, const placement_context& context) {
     return context.permits == nullptr || context.permits->count(executor.id) > 0;
 }
 
-bool can_start(instance_state& instance, const ready_step& step, const placement_context& context) {
-    if (!accepts_starts(instance, context) || !is_eligible(*instance.executor, step)) {
-        return false;
-    }
-    if (instance.isolated_task && instance.isolated_task != context.isolated_task) {
-        return false;
+placement_obstacle obstacle_of(instance_state& instance, const ready_step& step,
+                               const placement_context& context) {
+    if (const auto found = obstacle_to_starts(instance, context);
+        found != placement_obstacle::none) {
+        return found;
     }
-    const bool is_kept_from_others = instance.health.is_quarantined(context.now) ||
-                                     (instance.is_reserved && step.rules.priority > 0);
-    if (is_kept_from_others && !context.checks_capacity_only) {
-        return false;
+    if (const auto found = obstacle_to_step(instance, step, context);
+        found != placement_obstacle::none) {
+        return found;
     }
-    const bool is_on_rack =
-        context.rack.empty() || has_label(*instance.executor, context.rack.value());
-    const bool is_spread = step.spec->max_per_executor == 0 ||
-                           count_step_tasks(instance, step.key) < step.spec->max_per_executor;
-    return has_permit(*instance.executor, context) && is_on_rack && is_spread &&
-           fits(instance, step, context);
+    return fits(instance, step, context) ? placement_obstacle::none
+                                         : placement_obstacle::no_capacity;
+}
+
+bool can_start(instance_state& instance, const ready_step& step, const placement_context& context) {
+    return obstacle_of(instance, step, context) == placement_obstacle::none;
 }
 
 std::optional<std::size_t> choose_instance(std::vector<instance_state>& instances,
--- a/libs/dispatch/src/placement.hpp
+++ b/libs/dispatch/src/placement.hpp
@@ -7,6 +7,7 @@
 #include <set>
 #include <vector>
 
+#include "long_running_reservation.hpp"
 #include "tanagerpaddle/dispatch.hpp"
 
 namespace tanagerpaddle::dispatch {
@@ -29,6 +30,8 @@
 
 struct instance_state {
     instance_name name;
+    // Position in the list of instances.
+    std::size_t index = 0;
     std::optional<executor_info> executor;
     // The agent is connected and accepts orders of this coordinator.
     bool is_linked = false;
@@ -79,6 +82,8 @@
     // executor.
     instant last_start_at{};
     instant last_suspect_at{};
+    // When a start was last refused here for another reason than capacity or a permit.
+    std::optional<instant> refused_at;
     // The only task that may start here; see crash_rules.
     std::optional<task_key> isolated_task;
 
@@ -100,6 +105,8 @@
     // Estimated remaining work of the job.
     double core_seconds_left = 0;
     instant objective;
+    // Long-running tasks, which are placed before others of their priority.
+    bool has_precedence = false;
     // The job has had no assigned task for so long that one task may start wherever capacity
     // suffices.
     bool is_starved = false;
@@ -133,6 +140,10 @@
     const interference_model* interference = nullptr;
     filler_rules fillers;
     crash_rules crashes;
+    const long_running_reservations* reservations = nullptr;
+    milliseconds pause_after_refusal{0};
+    // The task to place, if it is known.
+    std::optional<task_key> task;
     // The task may have crashed an executor.
     bool is_suspect = false;
     // Prefers the instance whose last start is the longest ago to all others.
@@ -150,6 +161,27 @@
 // True if the policy service allows the executor, or need not be asked.
 [[nodiscard]] bool has_permit(const executor_info& executor, const placement_context& context);
 [[nodiscard]] bool has_label(const executor_info& executor, const std::string& label);
+// The first condition for a start on the instance that is not met.
+enum class placement_obstacle : std::uint8_t {
+    none,
+    not_linked,
+    no_executor,
+    stale_view,
+    draining,
+    evacuated,
+    not_eligible,
+    isolated,
+    quarantined,
+    reserved,
+    no_permit,
+    other_rack,
+    spread_limit,
+    refused_start,
+    no_capacity,
+};
+[[nodiscard]] std::string_view name(placement_obstacle obstacle) noexcept;
+[[nodiscard]] placement_obstacle obstacle_of(instance_state& instance, const ready_step& step,
+                                             const placement_context& context);
 // True if one more task of the step may start on the instance now and has capacity there.
 [[nodiscard]] bool can_start(instance_state& instance, const ready_step& step,
                              const placement_context& context);
--- a/libs/dispatch/src/planning.cpp
+++ b/libs/dispatch/src/planning.cpp
@@ -11,14 +11,6 @@
 // Interval at which running tasks are inspected; equals the agents' heartbeat interval. Inspecting
 // them in every plan would take most of the owner's processor time with many instances.
 constexpr milliseconds inspection_interval{300};
-// A task without progress for this long is stalled: reports arrive every 0.3 s, reading the
-// executor's lists may take 1.2 s, and runs of up to 200 s advance by one percent within 2 s.
-constexpr milliseconds min_stall_timeout{2'000};
-// Longest time between two views of an instance that reports as it should: an executor may delay
-// its lists by 0.5 s, and reports are sent every 0.3 s.
-constexpr milliseconds max_view_gap{1'000};
-// Longer tasks may go without progress for their estimate divided by this.
-constexpr int stall_timeout_divisor = 20;
 // A job without an assigned task for this long is placed by capacity alone, so that quarantines and
 // interference estimates cannot block it indefinitely.
 constexpr milliseconds starvation_timeout{1'000};
@@ -100,6 +92,7 @@
     if (is_inspection_due) {
         state_->move_throttled_fillers();
     }
+    state_->report_waiting_tasks();
     state_->flush_acknowledgements();
 }
 
@@ -177,6 +170,7 @@
                 step.rules = rules->second;
                 step.rank = lateness_rank(step.rules, occurrence.due_at, chain,
                                           longest_chain(spec, occurrence, true), now);
+                step.has_precedence = has_precedence(*step.spec);
                 step.is_starved = job.idle_since && now - *job.idle_since >= starvation_timeout;
                 step.core_seconds_left = core_seconds_left(spec, occurrence);
                 step.objective = occurrence.due_at + chain + step.rules.target;
@@ -193,6 +187,8 @@
         instance.is_reserved = false;
     }
     unplaceable_fillers.clear();
+    release_void_reservations();
+    std::vector<ready_step> without_capacity;
     for (const auto& step : collect_ready_steps()) {
         if (is_known_unplaceable(step)) {
             continue;
@@ -209,7 +205,11 @@
         if (!is_placed && step.rules.requires_permit) {
             request_permits(step);
         }
+        if (step.has_precedence) {
+            without_capacity.push_back(step);
+        }
     }
+    reserve_capacity(without_capacity);
 }
 
 // True if this pass found no instance for a filler of the same image with no greater demand.
@@ -229,6 +229,7 @@
     context.interference = &interference;
     context.fillers = config.fillers;
     context.crashes = config.crashes;
+    context.reservations = &reservations;
     std::vector<permit_candidate> candidates;
     // Steps begin at different instances, so that they do not all get permits for the same ones.
     const auto first = instances.empty() ? 0 : std::hash<job_id>{}(step.key.job) % instances.size();
@@ -257,11 +258,18 @@
     context.interference = &interference;
     context.fillers = config.fillers;
     context.crashes = config.crashes;
+    context.reservations = &reservations;
+    context.pause_after_refusal = config.long_running.pause_after_refusal;
+    place_reserved_tasks(step);
     for (const auto index : step.waiting) {
         const auto& task = jobs.at(step.key.job)
                                .occurrences[step.key.occurrence]
                                .steps[step.key.step]
                                .tasks[index];
+        context.task = {step.key.job, step.key.occurrence, step.key.step, index};
+        if (task.phase != task_phase::waiting || reservations.find(*context.task) != nullptr) {
+            continue;
+        }
         context.avoided_instance = task.last_failed_instance;
         context.is_suspect = task.crashes.suspected > 0;
         if (needs_isolation(*step.spec, task)) {
@@ -271,8 +279,9 @@
             }
             continue;
         }
-        const bool is_waiting_too_long = step.spec->is_long_running && task.run > run_number(0) &&
-                                         context.now - task.phase_since >= starvation_timeout;
+        const bool is_waiting_too_long =
+            step.spec->is_long_running && task.run > run_number(0) && task.without_run_since &&
+            context.now - *task.without_run_since >= starvation_timeout;
         context.checks_capacity_only =
             is_waiting_too_long || (step.is_starved && index == step.waiting.front());
         const auto instance = choose_instance(instances, step, context);
@@ -324,6 +333,7 @@
     context.interference = &interference;
     context.fillers = config.fillers;
     context.crashes = config.crashes;
+    context.reservations = &reservations;
     if (step.rules.requires_permit) {
         context.permits = &permits_by_step[step.key].tickets();
     }
@@ -363,6 +373,7 @@
     const task_key key{step.key.job, step.key.occurrence, step.key.step, index};
     auto& job = jobs.at(step.key.job);
     auto& task = *find_task(key);
+    reservations.remove(key);
     task.phase = task_phase::placed;
     task.run = task.run.next();
     task.phase_since = time.now();
@@ -395,55 +406,6 @@
     mark_dirty(key);
 }
 
-// Time in which not all runs of an instance were known does not count as time without progress: the
-// instance or its agent was suspended, slow or cut off, or its lists were incomplete.
-void coordinator::state::record_view(instance_state& instance) {
-    const instant now = time.now();
-    const auto gap = now - instance.observed_at;
-    if (gap > max_view_gap) {
-        for (const auto& key : instance.tasks) {
-            auto& progressed_at = find_task(key)->progressed_at;
-            progressed_at = std::min(now, progressed_at + (gap - max_view_gap));
-        }
-    }
-    instance.observed_at = now;
-    if (instance.executor) {
-        instance.listed_at = now;
-        clear_outlived_crashes(instance);
-    }
-}
-
-// Stops batch tasks without progress, which occur on instances that otherwise seem healthy, and
-// counts each as a failure of the instance.
-void coordinator::state::stop_stalled_tasks() {
-    const instant now = time.now();
-    for (std::size_t i = 0; i < instances.size(); ++i) {
-        auto& instance = instances[i];
-        if (!instance.is_linked || !instance.executor) {
-            continue;
-        }
-        const std::vector<task_key> keys(instance.tasks.begin(), instance.tasks.end());
-        for (const auto& key : keys) {
-            auto& task = *find_task(key);
-            const auto& spec = spec_of(key);
-            // A filler may make no progress because it is throttled, a gang because a member is
-            // missing.
-            const bool is_monitored = task.phase == task_phase::running && !spec.is_long_running &&
-                                      !spec.is_gang &&
-                                      !(spec.is_filler && !instance.serving_tasks_by_image.empty());
-            const auto limit = std::max(min_stall_timeout, spec.estimate / stall_timeout_divisor);
-            const auto without_progress =
-                std::chrono::duration_cast<milliseconds>(instance.observed_at - task.progressed_at);
-            if (is_monitored && without_progress >= limit) {
-                orders.report_stall(instance.name, key, task.run, without_progress);
-                task.last_failed_instance = i;
-                instance.health.failed(key.job, now);
-                stop_task(key, task);
-            }
-        }
-    }
-}
-
 // Stops fillers that are throttled to protect serving tasks, if another instance can run them.
 void coordinator::state::move_throttled_fillers() {
     placement_context context;
@@ -452,6 +414,7 @@
     context.interference = &interference;
     context.fillers = config.fillers;
     context.crashes = config.crashes;
+    context.reservations = &reservations;
     const auto max_moves = std::max(
         config.fillers.min_moves, static_cast<std::size_t>(config.fillers.moves_per_instance *
                                                            static_cast<double>(instances.size())));
--- a/libs/dispatch/src/task_lifecycle.cpp
+++ b/libs/dispatch/src/task_lifecycle.cpp
@@ -13,14 +13,6 @@
     return {key.job, key.occurrence, key.step};
 }
 
-resources reserved_resources(const step_spec& spec) {
-    resources demand = spec.demand;
-    if (spec.is_filler) {
-        demand.processors = millicores(0);
-    }
-    return demand;
-}
-
 // Adds a task's demand to the totals of an instance or subtracts it.
 void update_demand(instance_state& instance, const step_spec& spec, bool adds) {
     instance.slack_revision.reset();
@@ -59,6 +51,14 @@
 
 }  // namespace
 
+resources reserved_resources(const step_spec& spec) {
+    resources demand = spec.demand;
+    if (spec.is_filler) {
+        demand.processors = millicores(0);
+    }
+    return demand;
+}
+
 task_traits traits_of(const step_spec& spec) {
     return {spec.image, spec.tail_target, spec.demand.processors, spec.is_filler};
 }
@@ -89,6 +89,7 @@
     unassign(key, task);
     task.phase = task_phase::waiting;
     task.phase_since = time.now();
+    task.without_run_since = task.without_run_since.value_or(task.phase_since);
     task.percent = 0;
     task.has_begun = false;
     task.incarnation = executor_incarnation(0);
--- a/libs/dispatch/tests/world.cpp
+++ b/libs/dispatch/tests/world.cpp
@@ -291,7 +291,23 @@
         }
     }
 
+    void report_reservation(const instance_name& instance, const task_key&, instant) override {
+        reserved.push_back(index_of.at(instance));
+    }
+    void report_preemption(const instance_name&, const task_key& task,
+                           const std::vector<task_key>& stopped) override {
+        preempted.insert(preempted.end(), stopped.begin(), stopped.end());
+        for (const auto& key : stopped) {
+            check_preempted(task, key);
+        }
+    }
+    void report_waiting_task(const waiting_task& waiting) override {
+        auto& longest = reported_waits[std::string(waiting.waits_for)];
+        longest = std::max(longest, waiting.without_run);
+    }
+
     // --- parts (below)
+    void check_preempted(const task_key& task, const task_key& stopped);
     void new_coordinator();
     void loop_instance(std::size_t index);
     void loop_coordinator();
@@ -348,6 +364,9 @@
     instant taken_over_at;
     std::size_t start_count = 0;
     std::size_t stop_count = 0;
+    std::vector<std::size_t> reserved;
+    std::vector<task_key> preempted;
+    std::map<std::string, milliseconds> reported_waits;
     std::map<task_key, time_to_crash> crashing;
     std::map<task_key, std::uint32_t> crash_counts;
     // The same for all tasks, whatever crashed the executor.
@@ -388,6 +407,16 @@
     }
 }
 
+// Gangs, long-running tasks and tasks of a higher priority are never preempted.
+void world::state::check_preempted(const task_key& task, const task_key& stopped) {
+    const auto& job = accepted.at(stopped.job);
+    const auto& spec = job.spec.steps.at(stopped.step);
+    if (spec.is_gang || spec.is_long_running ||
+        job.rules.priority < accepted.at(task.job).rules.priority) {
+        violation("preempted for " + to_string(task) + ": " + to_string(stopped));
+    }
+}
+
 // Runs of a cancelled job are gone within the bounds once all that reaches the instance is calm.
 void world::state::check_cancelled_runs(std::size_t index) {
     auto& instance = *instances[index];
@@ -916,6 +945,7 @@
     coordinator::options settings;
     settings.tasks_per_row = options.tasks_per_row;
     settings.max_rows_per_write = options.max_rows_per_write;
+    settings.long_running = options.long_running;
     jobs = std::make_unique<coordinator>(settings, time, *this);
     jobs->set_queues({{queue_id("queue"), default_rules()}});
     jobs->set_evacuated(evacuated);
@@ -1173,6 +1203,15 @@
 std::size_t world::stops() const {
     return state_->stop_count;
 }
+const std::vector<std::size_t>& world::reserved() const {
+    return state_->reserved;
+}
+const std::vector<task_key>& world::preempted() const {
+    return state_->preempted;
+}
+const std::map<std::string, milliseconds>& world::reported_waits() const {
+    return state_->reported_waits;
+}
 const std::vector<std::string>& world::violations() const {
     return state_->violations;
 }
--- a/libs/dispatch/tests/world.hpp
+++ b/libs/dispatch/tests/world.hpp
@@ -26,6 +26,7 @@
     bool delays_first_view = false;
     // Number of completions that an executor lists at a time.
     std::size_t max_listed_completions = 500;
+    long_running_rules long_running{};
 };
 
 // Random faults; probabilities per second unless stated otherwise.
@@ -110,6 +111,12 @@
     [[nodiscard]] std::size_t starts() const;
     // Number of runs that were alive when they were ordered to stop.
     [[nodiscard]] std::size_t stops() const;
+    // Instances reserved for long-running tasks so far, in the order of the reservations.
+    [[nodiscard]] const std::vector<std::size_t>& reserved() const;
+    // Tasks stopped for long-running tasks so far.
+    [[nodiscard]] const std::vector<task_key>& preempted() const;
+    // The longest waits reported so far, by what the task waited for.
+    [[nodiscard]] const std::map<std::string, milliseconds>& reported_waits() const;
     // Number of executors that the task has crashed.
     [[nodiscard]] std::uint32_t crashes_by(const task_key& task) const;
     // Number of executors that crashed, for whatever cause, while they had the task.
--- a/libs/dispatch_node/include/tanagerpaddle/dispatch_node.hpp
+++ b/libs/dispatch_node/include/tanagerpaddle/dispatch_node.hpp
@@ -204,6 +204,12 @@
 // ---------------------------------------------------------------------------------------------
 // Entry
 
+// Parts of the scheduling that can be switched off; see docs/settings.md.
+struct scheduling_options {
+    // Capacity is reserved for long-running tasks that have no run.
+    bool has_long_running_reservation = true;
+};
+
 struct entry_options {
     // Name of the instance; at most one process uses a name at a time.
     std::string name;
@@ -217,6 +223,7 @@
     // Time for which the cancellation of a job that is not stored is kept; longer than a submission
     // can be under way.
     milliseconds early_cancellation_lifetime{120'000};
+    scheduling_options scheduling{};
 };
 
 enum class submit_outcome : std::uint8_t {
--- a/libs/dispatch_node/src/owner_session.cpp
+++ b/libs/dispatch_node/src/owner_session.cpp
@@ -52,9 +52,11 @@
     return parts;
 }
 
-coordinator::options coordinator_options(const lease_timing& timing) {
+coordinator::options coordinator_options(const lease_timing& timing,
+                                         const scheduling_options& scheduling) {
     coordinator::options options;
     options.timing = timing;
+    options.long_running.is_enabled = scheduling.has_long_running_reservation;
     return options;
 }
 
@@ -68,7 +70,7 @@
     : env_(env),
       epoch_(epoch),
       unclaimed_runs_end_by_(unclaimed_runs_end_by),
-      coordinator_(coordinator_options(env.timing), *env.time, *this),
+      coordinator_(coordinator_options(env.timing, env.scheduling), *env.time, *this),
       early_cancellations_(*env.time, env.early_cancellation_lifetime) {}
 
 // ---------------------------------------------------------------------------------------------
@@ -351,33 +353,6 @@
                     {"traits", messages::encode(traits)}});
 }
 
-void owner_session::report_crash(const executor_crash& crash) {
-    log_event(log_level::warning, crash.is_unreachable ? "executor_expired" : "executor_crashed",
-              {{"agent", crash.instance.value()}, {"suspects", crash.suspects.size()}});
-    for (const auto& suspect : crash.suspects) {
-        log_event(log_level::warning, suspect.has_failed ? "task_given_up" : "task_suspected",
-                  {{"task", to_string(suspect.task)},
-                   {"run", suspect.run.value()},
-                   {"agent", crash.instance.value()},
-                   {"crashes", suspect.crashes},
-                   {"has_begun", suspect.has_begun}});
-    }
-}
-
-void owner_session::report_stall(const instance_name& instance, const task_key& task,
-                                 run_number run, milliseconds without_progress) {
-    log_event(log_level::warning, "task_stalled",
-              {{"task", to_string(task)},
-               {"run", run.value()},
-               {"agent", instance.value()},
-               {"without_progress_ms", without_progress}});
-}
-
-void owner_session::report_unstored_checkpoint(const task_key& task, std::size_t bytes) {
-    log_event(log_level::warning, "checkpoint_not_stored",
-              {{"task", to_string(task)}, {"bytes", bytes}});
-}
-
 // ---------------------------------------------------------------------------------------------
 // Time and writes
 
--- a/libs/dispatch_node/src/owner_session.hpp
+++ b/libs/dispatch_node/src/owner_session.hpp
@@ -37,6 +37,7 @@
         ownership* owner = nullptr;
         lease_timing timing;
         milliseconds early_cancellation_lifetime{0};
+        scheduling_options scheduling{};
     };
 
     // Runs on instances whose agents cannot be claimed have ended by `unclaimed_runs_end_by`.
@@ -64,6 +65,11 @@
     void report_stall(const instance_name& instance, const task_key& task, run_number run,
                       milliseconds without_progress) override;
     void report_unstored_checkpoint(const task_key& task, std::size_t bytes) override;
+    void report_reservation(const instance_name& instance, const task_key& task,
+                            instant until) override;
+    void report_preemption(const instance_name& instance, const task_key& task,
+                           const std::vector<task_key>& stopped) override;
+    void report_waiting_task(const waiting_task& waiting) override;
 
 private:
     using json = messages::json;
