dispatch: preempt nothing while writes fail

Cause: a start needs a durable row. While the store is away, tasks were preempted for long-running tasks that could not start.

Change: after a failed write no capacity is reserved and nothing is preempted until a write succeeds.

--- a/libs/dispatch/src/coordinator_state.hpp
+++ b/libs/dispatch/src/coordinator_state.hpp
@@ -352,6 +352,8 @@
     // No instance could be reserved for some task; not tried again before.
     instant next_reservation_at;
     instant next_waiting_report_at;
+    // The last write has failed: nothing can start now.
+    bool has_failed_write = false;
 };
 
 }  // namespace tanagerpaddle::dispatch
--- a/libs/dispatch/src/long_running.cpp
+++ b/libs/dispatch/src/long_running.cpp
@@ -261,7 +261,9 @@
                 continue;
             }
             task.without_run_since = task.without_run_since.value_or(now);
-            if (step.spec->is_gang || needs_isolation(*step.spec, task)) {
+            // While no row can be written, tasks would be preempted for a start that cannot be
+            // sent.
+            if (has_failed_write || step.spec->is_gang || needs_isolation(*step.spec, task)) {
                 continue;
             }
             if (reservations.find(key) != nullptr) {
--- a/libs/dispatch/src/progress.cpp
+++ b/libs/dispatch/src/progress.cpp
@@ -346,6 +346,7 @@
 void coordinator::write_done() {
     auto write = std::move(*state_->active_write);
     state_->active_write.reset();
+    state_->has_failed_write = false;
     for (const auto& written : write.jobs) {
         auto& job = *state_->find_job(written.job);
         if (std::find(written.rows.begin(), written.rows.end(), 0U) != written.rows.end()) {
@@ -383,6 +384,7 @@
 void coordinator::write_failed() {
     auto write = std::move(*state_->active_write);
     state_->active_write.reset();
+    state_->has_failed_write = true;
     for (auto& written : write.jobs) {
         auto& job = *state_->find_job(written.job);
         if (job.is_terminal()) {
--- a/libs/dispatch/tests/long_running_capacity_test.cpp
+++ b/libs/dispatch/tests/long_running_capacity_test.cpp
@@ -262,6 +262,21 @@
     play.check_invariants();
 }
 
+// Guards against tasks that are stopped for a start that cannot be sent, since its row cannot be
+// written.
+TEST_CASE("no task is preempted while writes fail") {
+    replay play(overfull());
+    const auto lost = play.instance_with_most_standing();
+    play.system.fail_writes(milliseconds(4'000));
+    play.system.remove_executor(lost);
+    play.run_for(milliseconds(3'900));
+    CHECK(play.system.preempted().empty());
+    play.run_for(milliseconds(100));
+    play.check_restarts();
+    CHECK(!play.system.preempted().empty());
+    play.check_invariants();
+}
+
 // Nothing starts while no row can be written. Guards against reservations that block instances or
 // preempt again and again meanwhile.
 TEST_CASE("a task with a reservation starts once writes succeed again") {
