dispatch: order steps of equal rank by the shares of their queues

Change: queue_usage keeps what each queue has in use and the capacity of each service, updated in assign, unassign and set_executor. fair_order takes, among steps of the same priority and rank, that of the queue with the smallest dominant share at that moment. Long-running steps keep their own order. A restored long-running task counts as waiting since it was restored, as before, also while reservations are switched off.

--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -601,6 +601,9 @@
         filler_rules fillers;
         crash_rules crashes;
         long_running_rules long_running;
+        // Among steps of the same priority and rank, those of the queue with the smallest share of
+        // its service in use go first.
+        bool has_fair_shares = true;
     };
 
     coordinator(options settings, const clock& time, coordinator_orders& orders);
@@ -709,6 +712,9 @@
         std::size_t early_cancellations = 0;
     };
     [[nodiscard]] counts count() const;
+    // The share of its service's capacity that each queue with assigned tasks has in use, in
+    // thousandths: the largest of its shares of processors, memory and accelerators.
+    [[nodiscard]] std::map<queue_id, std::int64_t> queue_shares() const;
 
     struct state;
 
--- a/libs/dispatch/src/coordinator.cpp
+++ b/libs/dispatch/src/coordinator.cpp
@@ -189,7 +189,7 @@
         instance.last_start_at = instance.linked_at;
     }
     instance.observed_at = state_->time.now();
-    instance.executor = found.executor;
+    state_->set_executor(instance, found.executor);
     instance.processed_completion = completion_number(0);
     instance.acknowledged_completion = completion_number(0);
     if (!found.executor) {
@@ -202,6 +202,17 @@
     state_->requeue_excess_tasks(index);
 }
 
+void coordinator::state::set_executor(instance_state& instance,
+                                      const std::optional<executor_info>& executor) {
+    if (instance.executor) {
+        shares.remove_capacity(instance.executor->service, instance.executor->capacity);
+    }
+    instance.executor = executor;
+    if (instance.executor) {
+        shares.add_capacity(instance.executor->service, instance.executor->capacity);
+    }
+}
+
 void coordinator::state::record_earlier_calls(instance_state& instance,
                                               const inventory& found) const {
     if (!found.earlier) {
@@ -260,7 +271,7 @@
         instance.acknowledged_completion = completion_number(0);
         instance.health = {};
     }
-    instance.executor = info;
+    state_->set_executor(instance, info);
     state_->requeue_excess_tasks(index);
 }
 
@@ -392,6 +403,10 @@
     }
 }
 
+std::map<queue_id, std::int64_t> coordinator::queue_shares() const {
+    return state_->shares.permille();
+}
+
 coordinator::counts coordinator::count() const {
     counts result;
     result.jobs = state_->active_jobs.size();
--- a/libs/dispatch/src/coordinator_state.hpp
+++ b/libs/dispatch/src/coordinator_state.hpp
@@ -10,6 +10,7 @@
 #include "long_running_reservation.hpp"
 #include "permits.hpp"
 #include "placement.hpp"
+#include "shares.hpp"
 #include "tanagerpaddle/dispatch.hpp"
 
 namespace tanagerpaddle::dispatch {
@@ -258,6 +259,8 @@
     void flush_acknowledgements();
 
     // --- instances (coordinator.cpp)
+    // All changes of an instance's executor, so that the capacity of its service is known.
+    void set_executor(instance_state& instance, const std::optional<executor_info>& executor);
     // Until when leases may last by calls that were meant for an earlier executor.
     void record_earlier_calls(instance_state& instance, const inventory& found) const;
 
@@ -319,6 +322,7 @@
     void stop_stalled_tasks();
     void record_view(instance_state& instance);
     bool place_step(const ready_step& step);
+    void keep_largest_instance(const ready_step& step, const placement_context& context);
     bool place_gang(const ready_step& step);
     void place_task(const ready_step& step, std::uint32_t index, std::size_t instance);
     [[nodiscard]] bool is_known_unplaceable(const ready_step& step) const;
@@ -348,6 +352,7 @@
     // Smallest filler demand in millicores for which the current pass found no instance, by image
     // and by whether the step has to leave room for the serving tasks' load.
     std::map<std::pair<std::string, bool>, std::int64_t> unplaceable_fillers;
+    queue_usage shares;
     long_running_reservations reservations;
     // No instance could be reserved for some task; not tried again before.
     instant next_reservation_at;
--- a/libs/dispatch/src/crashes.cpp
+++ b/libs/dispatch/src/crashes.cpp
@@ -61,7 +61,7 @@
             permits.forget(instance.executor->id);
         }
     }
-    instance.executor.reset();
+    set_executor(instance, std::nullopt);
     // No leases are granted until the next executor has reported itself, but it may take a call
     // that was meant for this one.
     instance.expires_at = time.now() + config.timing.max_expiry_delay();
@@ -127,7 +127,7 @@
     suspects.is_unreachable = true;
     record_unreachable_runs(instance);
     clear_instance(index);
-    instance.executor.reset();
+    set_executor(instance, std::nullopt);
     for (auto& suspect : suspects.tasks) {
         suspect.has_begun = false;
     }
--- a/libs/dispatch/src/placement.hpp
+++ b/libs/dispatch/src/placement.hpp
@@ -99,6 +99,7 @@
 struct ready_step {
     step_key key;
     const step_spec* spec = nullptr;
+    const queue_id* queue = nullptr;
     queue_rules rules;
     // See lateness_rank.
     int rank = 0;
--- a/libs/dispatch/src/planning.cpp
+++ b/libs/dispatch/src/planning.cpp
@@ -167,6 +167,7 @@
                 const auto chain = longest_chain(spec, occurrence, false);
                 step.key = {id, k, s};
                 step.spec = &spec.steps[s];
+                step.queue = &job.submitted.queue;
                 step.rules = rules->second;
                 step.rank = lateness_rank(step.rules, occurrence.due_at, chain,
                                           longest_chain(spec, occurrence, true), now);
@@ -189,7 +190,10 @@
     unplaceable_fillers.clear();
     release_void_reservations();
     std::vector<ready_step> without_capacity;
-    for (const auto& step : collect_ready_steps()) {
+    const auto steps = collect_ready_steps();
+    fair_order order(steps, shares, config.has_fair_shares);
+    while (const auto* next = order.next()) {
+        const auto& step = *next;
         if (is_known_unplaceable(step)) {
             continue;
         }
@@ -280,8 +284,8 @@
             continue;
         }
         const bool is_waiting_too_long =
-            step.spec->is_long_running && task.run > run_number(0) && task.without_run_since &&
-            context.now - *task.without_run_since >= starvation_timeout;
+            step.spec->is_long_running && task.run > run_number(0) &&
+            context.now - task.without_run_since.value_or(task.phase_since) >= starvation_timeout;
         context.checks_capacity_only =
             is_waiting_too_long || (step.is_starved && index == step.waiting.front());
         const auto instance = choose_instance(instances, step, context);
@@ -292,22 +296,7 @@
                                                 step.spec->demand.processors.value());
             }
             if (step.rules.priority == 0) {
-                // Reserves the instance with the most free processors, so that work of lower
-                // priority does not take the capacity that becomes free.
-                std::optional<std::size_t> largest;
-                for (std::size_t i = 0; i < instances.size(); ++i) {
-                    if (accepts_starts(instances[i], context) &&
-                        is_eligible(*instances[i].executor, step) &&
-                        has_permit(*instances[i].executor, context) &&
-                        !instances[i].health.is_quarantined(context.now) &&
-                        (!largest ||
-                         instances[i].free().processors > instances[*largest].free().processors)) {
-                        largest = i;
-                    }
-                }
-                if (largest) {
-                    instances[*largest].is_reserved = true;
-                }
+                keep_largest_instance(step, context);
             }
             return false;
         }
@@ -316,6 +305,24 @@
     return true;
 }
 
+// Reserves the instance with the most free processors, so that work of lower priority does not take
+// the capacity that becomes free.
+void coordinator::state::keep_largest_instance(const ready_step& step,
+                                               const placement_context& context) {
+    std::optional<std::size_t> largest;
+    for (std::size_t i = 0; i < instances.size(); ++i) {
+        if (accepts_starts(instances[i], context) && is_eligible(*instances[i].executor, step) &&
+            has_permit(*instances[i].executor, context) &&
+            !instances[i].health.is_quarantined(context.now) &&
+            (!largest || instances[i].free().processors > instances[*largest].free().processors)) {
+            largest = i;
+        }
+    }
+    if (largest) {
+        instances[*largest].is_reserved = true;
+    }
+}
+
 // Places all members or none: the trial assignments are undone, then made for good if all members
 // fit.
 bool coordinator::state::place_gang(const ready_step& step) {
--- a/libs/dispatch/src/task_lifecycle.cpp
+++ b/libs/dispatch/src/task_lifecycle.cpp
@@ -69,6 +69,8 @@
     instance.tasks.insert(key);
     ++instance.tasks_by_step[step_of(key)];
     update_demand(instance, spec_of(key), true);
+    const auto& job = find_job(key.job)->submitted;
+    shares.add_use(job.queue, job.rules.service, spec_of(key).demand);
 }
 
 void coordinator::state::unassign(const task_key& key, task_state& task) {
@@ -82,6 +84,8 @@
         instance.tasks_by_step.erase(count);
     }
     update_demand(instance, spec_of(key), false);
+    const auto& job = find_job(key.job)->submitted;
+    shares.remove_use(job.queue, job.rules.service, spec_of(key).demand);
     task.instance.reset();
 }
 
--- a/libs/dispatch/tests/world.cpp
+++ b/libs/dispatch/tests/world.cpp
@@ -946,8 +946,13 @@
     settings.tasks_per_row = options.tasks_per_row;
     settings.max_rows_per_write = options.max_rows_per_write;
     settings.long_running = options.long_running;
+    settings.has_fair_shares = options.has_fair_shares;
     jobs = std::make_unique<coordinator>(settings, time, *this);
-    jobs->set_queues({{queue_id("queue"), default_rules()}});
+    std::map<queue_id, queue_rules> rules;
+    for (const auto& queue : options.queues) {
+        rules[queue] = default_rules();
+    }
+    jobs->set_queues(rules);
     jobs->set_evacuated(evacuated);
     for (const auto& [id, job] : accepted) {
         jobs->add_job(job, milliseconds(0));
--- a/libs/dispatch/tests/world.hpp
+++ b/libs/dispatch/tests/world.hpp
@@ -27,6 +27,9 @@
     // Number of completions that an executor lists at a time.
     std::size_t max_listed_completions = 500;
     long_running_rules long_running{};
+    bool has_fair_shares = true;
+    // All have default_rules().
+    std::set<queue_id> queues{queue_id("queue")};
 };
 
 // Random faults; probabilities per second unless stated otherwise.
--- a/libs/dispatch_node/include/tanagerpaddle/dispatch_node.hpp
+++ b/libs/dispatch_node/include/tanagerpaddle/dispatch_node.hpp
@@ -208,6 +208,7 @@
 struct scheduling_options {
     // Capacity is reserved for long-running tasks that have no run.
     bool has_long_running_reservation = true;
+    bool has_shares = true;
 };
 
 struct entry_options {
@@ -275,6 +276,8 @@
     [[nodiscard]] bool is_store_reachable(milliseconds max_age) const;
     // Counts for metrics; zero on an entry that is not the owner.
     [[nodiscard]] coordinator::counts count() const;
+    // See coordinator::queue_shares(); empty on an entry that is not the owner.
+    [[nodiscard]] std::map<queue_id, std::int64_t> queue_shares() const;
 
     struct state;
 
--- a/libs/dispatch_node/src/entry_node.cpp
+++ b/libs/dispatch_node/src/entry_node.cpp
@@ -626,4 +626,9 @@
     return state_->session ? state_->session->jobs().count() : coordinator::counts{};
 }
 
+std::map<queue_id, std::int64_t> entry_node::queue_shares() const {
+    return state_->session ? state_->session->jobs().queue_shares()
+                           : std::map<queue_id, std::int64_t>{};
+}
+
 }  // namespace tanagerpaddle::dispatch
--- a/libs/dispatch_node/src/owner_session.cpp
+++ b/libs/dispatch_node/src/owner_session.cpp
@@ -57,6 +57,7 @@
     coordinator::options options;
     options.timing = timing;
     options.long_running.is_enabled = scheduling.has_long_running_reservation;
+    options.has_fair_shares = scheduling.has_shares;
     return options;
 }
 
--- a/libs/settings/src/node_reference.cpp
+++ b/libs/settings/src/node_reference.cpp
@@ -19,6 +19,9 @@
     node_key{"scheduling.long_running_reservation", "true", "true, false",
              "Long-running tasks go before others of their priority, and an instance is reserved "
              "for one that has had no run for 1 s; see docs/design/long-running-capacity.md."},
+    node_key{"scheduling.shares", "true", "true, false",
+             "Among steps of the same priority and rank, the queue with the smallest share of its "
+             "service in use goes first; see docs/design/fair-shares.md."},
 };
 
 }  // namespace
--- a/libs/telemetry/include/tanagerpaddle/telemetry.hpp
+++ b/libs/telemetry/include/tanagerpaddle/telemetry.hpp
@@ -164,6 +164,7 @@
     leases_expired,
     workers,
     workers_quarantined,
+    queue_share,
     ledger_committed_processors,
     ledger_committed_memory,
     ledger_busy_slots,
--- a/libs/telemetry/src/metric_table.cpp
+++ b/libs/telemetry/src/metric_table.cpp
@@ -77,6 +77,8 @@
                       "Workers known to this entry."},
     metric_descriptor{workers_quarantined, "tanagerpaddle_workers_quarantined", level, "workers",
                       "", "Workers that get no tasks because tasks fail on them."},
+    metric_descriptor{queue_share, "tanagerpaddle_queue_share_permille", level, "permille", "queue",
+                      "Largest share of its service's capacity that a queue has in use."},
     metric_descriptor{ledger_committed_processors, "tanagerpaddle_ledger_committed_millicores",
                       level, "millicores", "", "Processors committed by the instance's ledger."},
     metric_descriptor{ledger_committed_memory, "tanagerpaddle_ledger_committed_mebibytes", level,
