--- a/libs/dispatch/src/coordinator.cpp
+++ b/libs/dispatch/src/coordinator.cpp
@@ -36,7 +36,9 @@
 std::size_t coordinator::state::instance_index(const instance_name& name) {
     const auto [position, is_new] = index_by_name.try_emplace(name, instances.size());
     if (is_new) {
-        instances.emplace_back().name = name;
+        auto& added = instances.emplace_back();
+        added.name = name;
+        added.index = position->second;
     }
     return position->second;
 }
@@ -64,6 +66,7 @@
 
 void coordinator::state::mark_begun(const task_key& key, task_state& task) {
     task.has_begun = true;
+    task.without_run_since.reset();
     mark_started(*find_job(key.job));
 }
 
@@ -186,7 +189,7 @@
         instance.last_start_at = instance.linked_at;
     }
     instance.observed_at = state_->time.now();
-    instance.executor = found.executor;
+    state_->set_executor(instance, found.executor);
     instance.processed_completion = completion_number(0);
     instance.acknowledged_completion = completion_number(0);
     if (!found.executor) {
@@ -199,6 +202,17 @@
     state_->requeue_excess_tasks(index);
 }
 
+void coordinator::state::set_executor(instance_state& instance,
+                                      const std::optional<executor_info>& executor) {
+    if (instance.executor) {
+        shares.remove_capacity(instance.executor->service, instance.executor->capacity);
+    }
+    instance.executor = executor;
+    if (instance.executor) {
+        shares.add_capacity(instance.executor->service, instance.executor->capacity);
+    }
+}
+
 void coordinator::state::record_earlier_calls(instance_state& instance,
                                               const inventory& found) const {
     if (!found.earlier) {
@@ -257,7 +271,7 @@
         instance.acknowledged_completion = completion_number(0);
         instance.health = {};
     }
-    instance.executor = info;
+    state_->set_executor(instance, info);
     state_->requeue_excess_tasks(index);
 }
 
@@ -298,6 +312,9 @@
         return;
     }
     const auto& executor = state_->instances[*index].executor;
+    if (outcome == start_outcome::not_started) {
+        state_->instances[*index].refused_at = state_->time.now();
+    }
     if (outcome == start_outcome::bad_permit && executor) {
         state_->permits_by_step[{key.job, key.occurrence, key.step}].forget(executor->id);
     }
@@ -386,6 +403,10 @@
     }
 }
 
+std::map<queue_id, std::int64_t> coordinator::queue_shares() const {
+    return state_->shares.permille();
+}
+
 coordinator::counts coordinator::count() const {
     counts result;
     result.jobs = state_->active_jobs.size();
--- a/libs/dispatch_node/include/tanagerpaddle/dispatch_node.hpp
+++ b/libs/dispatch_node/include/tanagerpaddle/dispatch_node.hpp
@@ -204,6 +204,13 @@
 // ---------------------------------------------------------------------------------------------
 // Entry
 
+// Parts of the scheduling that can be switched off; see docs/settings.md.
+struct scheduling_options {
+    // Capacity is reserved for long-running tasks that have no run.
+    bool has_long_running_reservation = true;
+    bool has_shares = true;
+};
+
 struct entry_options {
     // Name of the instance; at most one process uses a name at a time.
     std::string name;
@@ -217,6 +224,7 @@
     // Time for which the cancellation of a job that is not stored is kept; longer than a submission
     // can be under way.
     milliseconds early_cancellation_lifetime{120'000};
+    scheduling_options scheduling{};
 };
 
 enum class submit_outcome : std::uint8_t {
@@ -268,6 +276,8 @@
     [[nodiscard]] bool is_store_reachable(milliseconds max_age) const;
     // Counts for metrics; zero on an entry that is not the owner.
     [[nodiscard]] coordinator::counts count() const;
+    // See coordinator::queue_shares(); empty on an entry that is not the owner.
+    [[nodiscard]] std::map<queue_id, std::int64_t> queue_shares() const;
 
     struct state;
 
