dispatch_node: append to lists of names without temporaries

Cause: the release build of the deploy file fails with -Werror=restrict, a false positive of g++ 12 on operator+ of a literal and a temporary string. Change: the lists of obstacles and of preempted tasks are appended to piece by piece. Result: the release build passes.

--- a/libs/dispatch_node/src/owner_reports.cpp
+++ b/libs/dispatch_node/src/owner_reports.cpp
@@ -53,7 +53,10 @@
                                       const std::vector<task_key>& stopped) {
     std::string names;
     for (std::size_t i = 0; i < std::min(stopped.size(), max_logged_tasks); ++i) {
-        names += (i == 0 ? "" : " ") + to_string(stopped[i]);
+        if (i > 0) {
+            names += ' ';
+        }
+        names += to_string(stopped[i]);
     }
     log_event(log_level::info, "tasks_preempted",
               {{"agent", instance.value()},
@@ -66,8 +69,10 @@
 void owner_session::report_waiting_task(const waiting_task& waiting) {
     std::string obstacles;
     for (const auto& [name, instances] : waiting.instances_by_obstacle) {
-        obstacles +=
-            (obstacles.empty() ? "" : " ") + std::string(name) + ":" + std::to_string(instances);
+        if (!obstacles.empty()) {
+            obstacles += ' ';
+        }
+        obstacles += std::string(name) + ':' + std::to_string(instances);
     }
     log_event(log_level::warning, "task_waiting",
               {{"task", to_string(waiting.task)},
