dispatch: rank jobs by measured run times

Change: run_times keeps measured run times by image (512 images, five runs at least) and estimates a task by the image's mean, times a learned power of the declared time's ratio to the image's usual one. It is fed by successful runs that neither resumed, nor were throttled, nor ran off their rack, and used for the lateness rank and the remaining work. Scaling by the declared ratio itself carries its error over, so that the exponent starts at 0.25 and follows the covariance as jobs are seen. Long-running steps keep rank 0: they yield benefit whenever they run.

--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -543,6 +543,15 @@
     std::size_t min_moves = 4;
 };
 
+class run_times;
+
+// Order in which steps of the same priority are placed.
+struct ordering_rules {
+    // Ranks and remaining work follow from measured run times instead of the declared ones, which
+    // can be wrong by 0.9 of their value.
+    bool uses_measured_run_times = true;
+};
+
 // Decides what runs where for all jobs of a system. The caller ensures that only one process at a
 // time writes progress rows (see libs/dispatch_node). All state needed after a takeover is in the
 // rows: add_job and restore rebuild it, instance_claimed adds what agents report.
@@ -559,6 +568,7 @@
         std::uint32_t tasks_per_row = max_tasks_per_row;
         filler_rules fillers;
         crash_rules crashes;
+        ordering_rules ordering;
     };
 
     coordinator(options settings, const clock& time, coordinator_orders& orders);
@@ -667,6 +677,8 @@
         std::size_t early_cancellations = 0;
     };
     [[nodiscard]] counts count() const;
+    // Run times by image as measured under this coordinator.
+    [[nodiscard]] const run_times& measured_run_times() const;
 
     struct state;
 
--- a/libs/dispatch/src/coordinator.cpp
+++ b/libs/dispatch/src/coordinator.cpp
@@ -294,6 +294,7 @@
             task->phase = task_phase::running;
             task->phase_since = state_->time.now();
             task->progressed_at = task->phase_since;
+            task->measurement.began_at = task->phase_since;
         }
         return;
     }
@@ -351,6 +352,7 @@
         auto* task = state_->find_task(run.task);
         state_->mark_begun(run.task, *task);
         state_->record_checkpoint(run.task, *task, run.checkpoint);
+        state_->note_pace(state_->spec_of(run.task), *task, run.measurement);
         if (run.percent != task->percent) {
             task->percent = run.percent;
             task->progressed_at = state_->time.now();
@@ -386,6 +388,10 @@
     }
 }
 
+const run_times& coordinator::measured_run_times() const {
+    return state_->measured_run_times;
+}
+
 coordinator::counts coordinator::count() const {
     counts result;
     result.jobs = state_->active_jobs.size();
--- a/libs/dispatch/src/coordinator_state.hpp
+++ b/libs/dispatch/src/coordinator_state.hpp
@@ -9,6 +9,7 @@
 #include "crashes.hpp"
 #include "permits.hpp"
 #include "placement.hpp"
+#include "run_times.hpp"
 #include "tanagerpaddle/dispatch.hpp"
 
 namespace tanagerpaddle::dispatch {
@@ -25,6 +26,15 @@
     succeeded,
 };
 
+// What the current run tells of the run time of its image.
+struct run_measurement {
+    // When the run was reported as started; unset if this owner was not told.
+    std::optional<instant> began_at;
+    // The run takes as long as its work does: it neither resumed from a checkpoint nor was it
+    // throttled, and it is on the rack that it prefers.
+    bool is_representative = false;
+};
+
 struct task_state {
     task_phase phase = task_phase::waiting;
     run_number run;
@@ -50,6 +60,7 @@
     std::uint32_t orphaned_runs = 0;
     std::optional<std::size_t> orphan_instance;
     crash_history crashes;
+    run_measurement measurement;
 
     [[nodiscard]] bool occupies_instance() const noexcept {
         return phase != task_phase::waiting && phase != task_phase::succeeded;
@@ -279,6 +290,15 @@
                                                         placement_context context);
     [[nodiscard]] bool is_quiet(const instance_state& instance) const;
 
+    // --- run times (ordering.cpp)
+    // The run times that the order uses; nullptr for the declared ones.
+    [[nodiscard]] const run_times* ordering_run_times() const;
+    static void begin_measurement(const ready_step& step, task_state& task,
+                                  const instance_state& instance);
+    // Marks a filler that uses less than its demand as throttled.
+    void note_pace(const step_spec& spec, task_state& task, std::int64_t millicores_used) const;
+    void record_run_time(const task_key& key, const task_state& task);
+
     // --- placement (planning.cpp)
     void release_due_occurrences();
     void expire_instances();
@@ -315,6 +335,7 @@
     std::map<queue_id, std::int64_t> queued_job_counts;
     instant inspected_at;
     interference_model interference;
+    run_times measured_run_times;
     // Smallest filler demand in millicores for which the current pass found no instance, by image
     // and by whether the step has to leave room for the serving tasks' load.
     std::map<std::pair<std::string, bool>, std::int64_t> unplaceable_fillers;
--- a/libs/dispatch/src/planning.cpp
+++ b/libs/dispatch/src/planning.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "coordinator_state.hpp"
+#include "ordering.hpp"
 
 namespace tanagerpaddle::dispatch {
 
@@ -27,34 +28,6 @@
 // Minimum run time before a move, since a move costs a restart.
 constexpr milliseconds min_run_time_before_move{500};
 
-// Estimated run time of the longest chain of steps; `only_unfinished` skips steps that are done.
-milliseconds longest_chain(const job_spec& spec, const occurrence_state& occurrence,
-                           bool only_unfinished) {
-    std::vector<milliseconds> finish_offsets(spec.steps.size());
-    milliseconds longest{0};
-    for (std::size_t s = 0; s < spec.steps.size(); ++s) {
-        milliseconds before{0};
-        for (const auto earlier : spec.steps[s].depends_on) {
-            before = std::max(before, finish_offsets[earlier]);
-        }
-        const bool counts = !only_unfinished || !occurrence.steps[s].is_done();
-        finish_offsets[s] = before + (counts ? spec.steps[s].estimate : milliseconds(0));
-        longest = std::max(longest, finish_offsets[s]);
-    }
-    return longest;
-}
-
-double core_seconds_left(const job_spec& spec, const occurrence_state& occurrence) {
-    double total = 0;
-    for (std::size_t s = 0; s < spec.steps.size(); ++s) {
-        const auto& step = occurrence.steps[s];
-        const auto left = static_cast<double>(step.tasks.size() - step.succeeded);
-        total += left * static_cast<double>(spec.steps[s].demand.processors.value()) *
-                 static_cast<double>(spec.steps[s].estimate.count()) / 1e6;
-    }
-    return total;
-}
-
 bool occupies_any_instance(const job_state& job) {
     for (const auto& occurrence : job.occurrences) {
         for (const auto& step : occurrence.steps) {
@@ -171,15 +144,18 @@
                 }
                 step.reserves_slack =
                     now - *progress.waiting_since < config.fillers.max_wait_for_room;
-                const auto chain = longest_chain(spec, occurrence, false);
+                const auto work = work_of(spec, occurrence, ordering_run_times());
                 step.key = {id, k, s};
                 step.spec = &spec.steps[s];
                 step.rules = rules->second;
-                step.rank = lateness_rank(step.rules, occurrence.due_at, chain,
-                                          longest_chain(spec, occurrence, true), now);
+                // A long-running task yields benefit whenever it runs.
+                step.rank = step.spec->is_long_running
+                                ? 0
+                                : lateness_rank(step.rules, occurrence.due_at, work.chain,
+                                                work.chain_left, now);
                 step.is_starved = job.idle_since && now - *job.idle_since >= starvation_timeout;
-                step.core_seconds_left = core_seconds_left(spec, occurrence);
-                step.objective = occurrence.due_at + chain + step.rules.target;
+                step.core_seconds_left = work.core_seconds_left;
+                step.objective = occurrence.due_at + work.chain + step.rules.target;
                 ready.push_back(std::move(step));
             }
         }
@@ -370,6 +346,7 @@
     auto& target = instances[instance];
     task.incarnation = target.executor->incarnation;
     target.last_start_at = time.now();
+    begin_measurement(step, task, target);
     if (task.crashes.suspected > 0) {
         target.last_suspect_at = time.now();
     }
--- a/libs/dispatch/src/task_lifecycle.cpp
+++ b/libs/dispatch/src/task_lifecycle.cpp
@@ -307,6 +307,7 @@
     }
     const bool is_long_running = spec_of(completion.task).is_long_running;
     if (completion.outcome == run_outcome::succeeded && !is_long_running) {
+        record_run_time(completion.task, *task);
         mark_succeeded(completion.task, *task, index);
         return;
     }
@@ -451,6 +452,8 @@
             task.incarnation = found.executor->incarnation;
             mark_begun(key, task);
             task.progressed_at = time.now();
+            // It may have ended some time before the link is back.
+            task.measurement.is_representative = false;
             orders.send_traits(instances[index].name, key, traits_of(spec_of(key)));
             continue;
         }
