dispatch: one placement in ten goes to the oldest late job

Cause: jobs that can yield no more benefit go behind all others of their priority, and wait for as long as others arrive. Change: late_turns counts placements by service and priority; after nine without a late job, one task of the oldest late step (a gang as a whole) goes first in its priority. The walk is over the steps that are ready anyway. A step with a task that may have crashed an executor has no turn. Priorities stay strict: an urgent late step still goes before batch work.

--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -550,6 +550,10 @@
     // Ranks and remaining work follow from measured run times instead of the declared ones, which
     // can be wrong by 0.9 of their value.
     bool uses_measured_run_times = true;
+    // One placement in this many goes to the oldest job that can yield no more benefit, while such
+    // a job waits; 0 means that these jobs get only what the others leave. A tenth of the capacity
+    // is what the requirements grant them (docs/two-customers.md, part 1).
+    std::uint32_t placements_per_late_turn = 10;
 };
 
 // Decides what runs where for all jobs of a system. The caller ensures that only one process at a
--- a/libs/dispatch/src/coordinator_state.hpp
+++ b/libs/dispatch/src/coordinator_state.hpp
@@ -7,6 +7,7 @@
 #include <unordered_set>
 
 #include "crashes.hpp"
+#include "late_turns.hpp"
 #include "permits.hpp"
 #include "placement.hpp"
 #include "run_times.hpp"
@@ -171,7 +172,7 @@
 
 struct coordinator::state {
     state(options settings, const clock& source, coordinator_orders& sink)
-        : config(settings), time(source), orders(sink) {}
+        : config(settings), time(source), orders(sink), turns(settings.ordering) {}
 
     // Phases, starts and completions that a write in progress makes durable.
     struct job_write {
@@ -336,6 +337,7 @@
     instant inspected_at;
     interference_model interference;
     run_times measured_run_times;
+    late_turns turns;
     // Smallest filler demand in millicores for which the current pass found no instance, by image
     // and by whether the step has to leave room for the serving tasks' load.
     std::map<std::pair<std::string, bool>, std::int64_t> unplaceable_fillers;
--- a/libs/dispatch/src/placement.hpp
+++ b/libs/dispatch/src/placement.hpp
@@ -99,12 +99,16 @@
     int rank = 0;
     // Estimated remaining work of the job.
     double core_seconds_left = 0;
+    // Start of the job's objective.
+    instant due_at;
     instant objective;
     // The job has had no assigned task for so long that one task may start wherever capacity
     // suffices.
     bool is_starved = false;
     // Leaves room for the rise of the serving tasks' own load; see filler_rules.
     bool reserves_slack = true;
+    // A waiting task may have crashed an executor.
+    bool has_suspect = false;
     std::vector<std::uint32_t> waiting;
 };
 
--- a/libs/dispatch/src/planning.cpp
+++ b/libs/dispatch/src/planning.cpp
@@ -133,6 +133,7 @@
                     if (task.phase == task_phase::waiting &&
                         (task.orphaned_runs == 0 || spec.steps[s].is_gang)) {
                         step.waiting.push_back(i);
+                        step.has_suspect = step.has_suspect || task.crashes.suspected > 0;
                     }
                 }
                 if (step.waiting.empty() || !is_ready(spec, occurrence, s)) {
@@ -148,6 +149,7 @@
                 step.key = {id, k, s};
                 step.spec = &spec.steps[s];
                 step.rules = rules->second;
+                step.due_at = occurrence.due_at;
                 // A long-running task yields benefit whenever it runs.
                 step.rank = step.spec->is_long_running
                                 ? 0
@@ -161,6 +163,7 @@
         }
     }
     std::sort(ready.begin(), ready.end(), precedes);
+    turns.apply(ready);
     return ready;
 }
 
@@ -347,6 +350,7 @@
     task.incarnation = target.executor->incarnation;
     target.last_start_at = time.now();
     begin_measurement(step, task, target);
+    turns.placed(step);
     if (task.crashes.suspected > 0) {
         target.last_suspect_at = time.now();
     }
