dispatch: predict the wait of each queue and decide on submissions

Cause: the only reason to refuse a job was a silent store. Jobs that no executor can hold were accepted and waited indefinitely. Change: coordinator::forecast predicts, by the drain model, when a usual job of each queue would start and end, and lists the maximal executors of each service (seen within 60 s, once the list has been complete for 10 s). decide_admission refuses by it what never fits, and, if switched on, what would end after three times its objective. Waits are spread over half of themselves by a hash of the job. What tasks hold is kept up to date by assign and unassign, so that a forecast takes no walk over running tasks. The metrics jobs_refused and predicted_wait are declared.

--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -556,6 +556,61 @@
     std::uint32_t placements_per_late_turn = 10;
 };
 
+// What an entry needs to decide on a submission; see decide_admission.
+struct fleet_forecast {
+    struct executor_shape {
+        resources capacity;
+        // Sorted.
+        std::vector<std::string> labels;
+
+        friend bool operator==(const executor_shape&, const executor_shape&) = default;
+    };
+    struct queue_delay {
+        // From the acceptance of a job to the start of its first task.
+        milliseconds start{0};
+        // From that start to the end of the job, for each second of its critical path.
+        milliseconds end_per_s{1'000};
+
+        friend bool operator==(const queue_delay&, const queue_delay&) = default;
+    };
+    // For each service, executors such that each executor of the service, in whatever state, is
+    // matched or exceeded by one of them. A service is left out if that is not known.
+    std::map<service_id, std::vector<executor_shape>> services;
+    std::map<queue_id, queue_delay> queues;
+
+    friend bool operator==(const fleet_forecast&, const fleet_forecast&) = default;
+};
+
+// Limit on the rows of a service in a forecast: 4 KB with three labels each.
+constexpr std::size_t max_shapes_per_service = 32;
+
+enum class refusal_reason : std::uint8_t {
+    // No executor of the service can ever hold one of the tasks.
+    never_fits,
+    // The job would end too late to yield any benefit.
+    overload,
+    // The table service does not answer.
+    store,
+};
+[[nodiscard]] std::string_view name(refusal_reason reason) noexcept;
+
+struct refusal {
+    refusal_reason reason = refusal_reason::overload;
+    // Unset if repeating the submission is of no use.
+    std::optional<std::chrono::seconds> retry_after;
+};
+
+// Decides whether a job is refused by the forecast; std::nullopt admits it. `refuses_overload` is
+// the setting scheduling.admission. Timed jobs and jobs with long-running tasks are never refused
+// for overload: they yield benefit whenever they run.
+[[nodiscard]] std::optional<refusal> decide_admission(const submitted_job& job,
+                                                      const fleet_forecast& forecast,
+                                                      bool refuses_overload);
+// When a job that is refused because the store does not answer is to be submitted again: `silence`
+// is the time since the store's last answer, `longest_outage` the longest of the recent outages.
+[[nodiscard]] std::chrono::seconds store_retry_after(const job_id& job, milliseconds silence,
+                                                     milliseconds longest_outage);
+
 // Decides what runs where for all jobs of a system. The caller ensures that only one process at a
 // time writes progress rows (see libs/dispatch_node). All state needed after a takeover is in the
 // rows: add_job and restore rebuild it, instance_claimed adds what agents report.
@@ -683,6 +738,10 @@
     [[nodiscard]] counts count() const;
     // Run times by image as measured under this coordinator.
     [[nodiscard]] const run_times& measured_run_times() const;
+    // Predicts from the current state when a job of each queue would start and end, and lists the
+    // executors. `expected_instances` is the number of registered agents. Takes a walk over all
+    // open tasks: meant for two calls a second.
+    [[nodiscard]] fleet_forecast forecast(std::size_t expected_instances);
 
     struct state;
 
--- a/libs/dispatch/src/coordinator.cpp
+++ b/libs/dispatch/src/coordinator.cpp
@@ -111,6 +111,7 @@
         }
     }
     lay_out_rows(added, state_->config.tasks_per_row);
+    state_->note_added(added);
     state_->active_jobs.insert(job.id);
     if (job.spec.occurrences == 0) {
         ++state_->queued_job_counts[job.queue];
--- a/libs/dispatch/src/coordinator_state.hpp
+++ b/libs/dispatch/src/coordinator_state.hpp
@@ -10,6 +10,7 @@
 #include "late_turns.hpp"
 #include "permits.hpp"
 #include "placement.hpp"
+#include "queue_forecast.hpp"
 #include "run_times.hpp"
 #include "tanagerpaddle/dispatch.hpp"
 
@@ -300,6 +301,12 @@
     void note_pace(const step_spec& spec, task_state& task, std::int64_t millicores_used) const;
     void record_run_time(const task_key& key, const task_state& task);
 
+    // --- forecast (queue_forecast.cpp)
+    void note_added(const job_state& job);
+    // What the services have now; records the executors in the census.
+    std::map<service_id, service_supply> collect_supply();
+    [[nodiscard]] fleet_forecast make_forecast(std::size_t expected_instances);
+
     // --- placement (planning.cpp)
     void release_due_occurrences();
     void expire_instances();
@@ -338,6 +345,8 @@
     interference_model interference;
     run_times measured_run_times;
     late_turns turns;
+    fleet_load load;
+    executor_census census;
     // Smallest filler demand in millicores for which the current pass found no instance, by image
     // and by whether the step has to leave room for the serving tasks' load.
     std::map<std::pair<std::string, bool>, std::int64_t> unplaceable_fillers;
--- a/libs/dispatch/src/ordering.cpp
+++ b/libs/dispatch/src/ordering.cpp
@@ -39,6 +39,12 @@
     return work;
 }
 
+int rank_of(const ready_step& step, const remaining_work& work, instant now) {
+    return step.spec->is_long_running
+               ? 0
+               : lateness_rank(step.rules, step.due_at, work.chain, work.chain_left, now);
+}
+
 // ---------------------------------------------------------------------------------------------
 // Measurement of runs
 
--- a/libs/dispatch/src/ordering.hpp
+++ b/libs/dispatch/src/ordering.hpp
@@ -26,5 +26,8 @@
 [[nodiscard]] milliseconds run_time_of(const step_spec& spec, const run_times* measured);
 [[nodiscard]] remaining_work work_of(const job_spec& spec, const occurrence_state& occurrence,
                                      const run_times* measured);
+// The lateness rank of a step with its rules and due time; 0 for a long-running one, which yields
+// benefit whenever it runs.
+[[nodiscard]] int rank_of(const ready_step& step, const remaining_work& work, instant now);
 
 }  // namespace tanagerpaddle::dispatch
--- a/libs/dispatch/src/placement.cpp
+++ b/libs/dispatch/src/placement.cpp
@@ -20,8 +20,6 @@
 // Share of the processors reserved by serving tasks that fillers may use: serving tasks reserve for
 // their peak.
 constexpr std::int64_t reclaimable_percent = 50;
-// Late jobs yield a reduced benefit up to this multiple of their objective.
-constexpr int late_objective_factor = 3;
 
 // Slack assumed for a serving task without measurements; allows a few fillers.
 constexpr double unmeasured_slack = 0.1;
--- a/libs/dispatch/src/placement.hpp
+++ b/libs/dispatch/src/placement.hpp
@@ -112,6 +112,9 @@
     std::vector<std::uint32_t> waiting;
 };
 
+// Late jobs yield a reduced benefit up to this multiple of their objective.
+inline constexpr int late_objective_factor = 3;
+
 // Ranks a job by the benefit it can still yield: 0 full (within its objective), 1 reduced (late), 2
 // none. `accepted` is the start of the objective, `chain` the estimated run time of the longest
 // chain of steps, `left` its remaining part.
--- a/libs/dispatch/src/planning.cpp
+++ b/libs/dispatch/src/planning.cpp
@@ -150,11 +150,7 @@
                 step.spec = &spec.steps[s];
                 step.rules = rules->second;
                 step.due_at = occurrence.due_at;
-                // A long-running task yields benefit whenever it runs.
-                step.rank = step.spec->is_long_running
-                                ? 0
-                                : lateness_rank(step.rules, occurrence.due_at, work.chain,
-                                                work.chain_left, now);
+                step.rank = rank_of(step, work, now);
                 step.is_starved = job.idle_since && now - *job.idle_since >= starvation_timeout;
                 step.core_seconds_left = work.core_seconds_left;
                 step.objective = occurrence.due_at + work.chain + step.rules.target;
--- a/libs/dispatch/src/task_lifecycle.cpp
+++ b/libs/dispatch/src/task_lifecycle.cpp
@@ -69,6 +69,7 @@
     instance.tasks.insert(key);
     ++instance.tasks_by_step[step_of(key)];
     update_demand(instance, spec_of(key), true);
+    load.task_assigned(find_job(key.job)->submitted.rules, spec_of(key));
 }
 
 void coordinator::state::unassign(const task_key& key, task_state& task) {
@@ -82,6 +83,7 @@
         instance.tasks_by_step.erase(count);
     }
     update_demand(instance, spec_of(key), false);
+    load.task_unassigned(find_job(key.job)->submitted.rules, spec_of(key));
     task.instance.reset();
 }
 
--- a/libs/telemetry/include/tanagerpaddle/telemetry.hpp
+++ b/libs/telemetry/include/tanagerpaddle/telemetry.hpp
@@ -173,6 +173,8 @@
     spans_dropped,
     metric_series_rejected,
     callback_failures,
+    jobs_refused,
+    predicted_wait,
     count_of_metrics,
 };
 
--- a/libs/telemetry/src/metric_table.cpp
+++ b/libs/telemetry/src/metric_table.cpp
@@ -95,6 +95,10 @@
                       "series", "metric", "Look-ups beyond the bound on series of a metric."},
     metric_descriptor{callback_failures, "tanagerpaddle_callback_failures_total", counts,
                       "callbacks", "", "Callbacks of the event loop that an exception ended."},
+    metric_descriptor{jobs_refused, "tanagerpaddle_jobs_refused_total", counts, "jobs",
+                      "queue,reason", "Submissions that this entry refused."},
+    metric_descriptor{predicted_wait, "tanagerpaddle_predicted_wait_seconds", latency, "s", "queue",
+                      "Predicted time from a submission to the start of its first task."},
 };
 
 constexpr bool is_in_order() {
