dispatch_node: entries refuse jobs by the owner's forecast

Cause: an entry did not know what the owner knows of capacity and queues. Change: the owner sends its forecast, every 500 ms if it changed and every 2 s otherwise, to the entries whose hello asks for it; entries of earlier builds would log each as unreadable. entry_node::admit decides before the store is called; a job that the owner knows, or that it does not answer for, is admitted. A forecast ends after 3 s or with the link to its owner. Retry-After of a silent store follows from its longest outage of the last ten minutes. Refusals are logged as job_refused and counted. malformed_messages_test sends malformed forecasts to owners and agents.

--- a/libs/dispatch_node/include/tanagerpaddle/dispatch_node.hpp
+++ b/libs/dispatch_node/include/tanagerpaddle/dispatch_node.hpp
@@ -217,6 +217,9 @@
     // Time for which the cancellation of a job that is not stored is kept; longer than a submission
     // can be under way.
     milliseconds early_cancellation_lifetime{120'000};
+    // Refuses jobs that could only be served too late; see decide_admission.
+    bool refuses_overload = false;
+    ordering_rules ordering{};
 };
 
 enum class submit_outcome : std::uint8_t {
@@ -239,6 +242,13 @@
     void set_queues(const std::map<queue_id, queue_rules>& queues);
     void set_evacuated(const std::set<failure_domain_id>& domains);
 
+    // Decides by the owner's forecast whether a job is to be refused before it is submitted; calls
+    // `done` by `until`. Nothing is sent to the store. A job that the owner knows is not refused,
+    // nor is any without a current forecast.
+    void admit(const submitted_job& job, deadline until,
+               const std::function<void(const std::optional<refusal>&)>& done);
+    // When a caller whose job was refused by submit should submit it again.
+    [[nodiscard]] std::chrono::seconds store_retry_after(const job_id& job) const;
     // Stores the job and calls `done` by `until`. A job that is already stored is accepted.
     void submit(const submitted_job& job, deadline until, std::function<void(submit_outcome)> done);
 
--- a/libs/dispatch_node/src/entry_node.cpp
+++ b/libs/dispatch_node/src/entry_node.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "admission_control.hpp"
 #include "owner_session.hpp"
 #include "tanagerpaddle/dispatch_node.hpp"
 #include "tanagerpaddle/telemetry.hpp"
@@ -27,6 +28,8 @@
 constexpr milliseconds owner_query_timeout{250};
 constexpr milliseconds connect_timeout{400};
 constexpr milliseconds owner_link_check_interval{200};
+// Half of forecast_sender::send_interval, and far below max_store_silence.
+constexpr milliseconds forecast_check_interval{250};
 
 }  // namespace
 
@@ -45,7 +48,8 @@
           store(table_store),
           policies(policy_client),
           options(std::move(node_options)),
-          owner(io_loop, node_clock, table_store, options, handlers()) {}
+          owner(io_loop, node_clock, table_store, options, handlers()),
+          admission(options.refuses_overload, max_store_silence) {}
 
     ownership::events handlers() {
         return {[this](const ownership::gain& gained) { begin_session(gained); },
@@ -63,6 +67,7 @@
         environment.owner = &owner;
         environment.timing = options.timing;
         environment.early_cancellation_lifetime = options.early_cancellation_lifetime;
+        environment.ordering = options.ordering;
         session = std::make_shared<owner_session>(
             environment, gained.epoch,
             gained.earlier_grants_end_by + options.timing.expiry_delay());
@@ -75,6 +80,7 @@
         if (session) {
             session->close();
             session.reset();
+            admission.drop_forecast();
         }
     }
 
@@ -116,8 +122,8 @@
         }
         owner_link = std::move(link);
         owner_address = address;
-        owner_link->send(
-            messages::dump({{"t", "hello"}, {"processors", options.processors.value()}}));
+        owner_link->send(messages::dump(
+            {{"t", "hello"}, {"processors", options.processors.value()}, {"forecasts", true}}));
         return {[weak = weak_from_this()](const std::string& text) {
                     if (const auto self = weak.lock()) {
                         self->on_owner_answer(text);
@@ -126,6 +132,7 @@
                 [weak = weak_from_this()] {
                     if (const auto self = weak.lock()) {
                         self->owner_link.reset();
+                        self->admission.drop_forecast();
                         self->fail_queries();
                         self->owner.suspect_owner();
                     }
@@ -136,6 +143,7 @@
         if (owner_link) {
             owner_link->close();
             owner_link.reset();
+            admission.drop_forecast();
         }
         fail_queries();
     }
@@ -185,10 +193,15 @@
         std::uint64_t number = 0;
         try {
             const auto message = json_input::parse(text);
+            if (message.value("t", "") == "forecast") {
+                admission.set_forecast(messages::decode_forecast(message), time.now());
+                return;
+            }
             number = json_input::whole_number<std::uint64_t>(message.at("id"));
             answer = decode_owner_answer(message);
         } catch (const std::exception& failure) {
-            // The query that it answers expires, and the store is read instead.
+            // A query that it answers expires, and the store is read instead; an earlier forecast
+            // holds until it is too old.
             log_event(log_level::error, "message_unreadable", {{"message", failure.what()}});
             return;
         }
@@ -217,7 +230,7 @@
 
     // --- queries from other entries
     eventio::link_handlers accepted(const std::shared_ptr<eventio::message_link>& link) {
-        connected_entries[link] = millicores(0);
+        connected_entries[link] = {};
         std::weak_ptr weak_link = link;
         return {[weak = weak_from_this(), weak_link](const std::string& text) {
                     const auto self = weak.lock();
@@ -240,7 +253,8 @@
         try {
             const auto message = json_input::parse(text);
             if (message.at("t").get<std::string>() == "hello") {
-                connected_entries[from] = json_input::amount<millicores>(message.at("processors"));
+                connected_entries[from] = {json_input::amount<millicores>(message.at("processors")),
+                                           message.value("forecasts", false)};
                 update_max_peer_processors();
                 return;
             }
@@ -254,8 +268,8 @@
 
     void update_max_peer_processors() {
         millicores most;
-        for (const auto& [link, processors] : connected_entries) {
-            most = std::max(most, processors);
+        for (const auto& [link, entry] : connected_entries) {
+            most = std::max(most, entry.processors);
         }
         owner.set_max_peer_processors(most);
     }
@@ -281,6 +295,61 @@
         return out;
     }
 
+    // --- admission
+    void share_forecast() {
+        const instant now = time.now();
+        admission.observe_store(store_answered_at());
+        if (!session || !session->is_job_list_current() || !sender.is_due(now)) {
+            return;
+        }
+        auto forecast = session->make_forecast();
+        if (sender.should_send(forecast, now)) {
+            const auto text = messages::dump(messages::encode(forecast));
+            // A copy: a link that is closed leaves the map.
+            const auto entries = connected_entries;
+            for (const auto& [link, entry] : entries) {
+                if (entry.takes_forecasts) {
+                    link->send(text);
+                }
+            }
+        }
+        admission.set_forecast(std::move(forecast), now);
+    }
+
+    using admission_handler = std::function<void(const std::optional<refusal>&)>;
+
+    void admit(const submitted_job& job, deadline until, const admission_handler& done) {
+        const instant now = time.now();
+        const auto refused = admission.decide(job, now);
+        if (!refused) {
+            done(std::nullopt);
+            return;
+        }
+        // An earlier submission may have stored the job without its caller having learned it.
+        if (session) {
+            const bool is_known = !session->is_job_list_current() || session->jobs().status(job.id);
+            finish_admission(job, is_known ? std::nullopt : refused, done);
+            return;
+        }
+        query_owner({{"t", "status"}, {"job", job.id.value()}}, until,
+                    [self = shared_from_this(), job, refused, done](const owner_answer* answer) {
+                        const bool is_known = answer == nullptr || answer->phase;
+                        self->finish_admission(job, is_known ? std::nullopt : refused, done);
+                    });
+    }
+
+    void finish_admission(const submitted_job& job, const std::optional<refusal>& refused,
+                          const admission_handler& done) const {
+        if (refused) {
+            admission.report(job, *refused, time.now());
+        }
+        done(refused);
+    }
+
+    [[nodiscard]] std::chrono::seconds retry_after(const job_id& job) const {
+        return admission.store_retry_after(job, store_answered_at(), time.now());
+    }
+
     // --- submissions
     struct submit_call {
         submitted_job job;
@@ -315,7 +384,11 @@
 
     [[nodiscard]] bool is_store_reachable(milliseconds max_age) const {
         const auto longest = std::max(max_age, owner.store_latency() * store_timeout_factor);
-        return time.now() - std::max(owner.answered_at(), submit_answered_at) <= longest;
+        return time.now() - store_answered_at() <= longest;
+    }
+
+    [[nodiscard]] instant store_answered_at() const {
+        return std::max(owner.answered_at(), submit_answered_at);
     }
 
     void on_stored(const std::shared_ptr<submit_call>& call, const transaction_result& result) {
@@ -531,8 +604,14 @@
     bool is_connecting = false;
     std::uint64_t last_query = 0;
     std::map<std::uint64_t, answer_handler> pending_queries;
-    // Connected entries, with their processors.
-    std::map<std::shared_ptr<eventio::message_link>, millicores> connected_entries;
+    struct connected_entry {
+        millicores processors;
+        // Entries of earlier builds would log each forecast as unreadable.
+        bool takes_forecasts = false;
+    };
+    std::map<std::shared_ptr<eventio::message_link>, connected_entry> connected_entries;
+    admission_control admission;
+    forecast_sender sender;
     instant submit_answered_at;
 };
 
@@ -557,6 +636,11 @@
             self->check_owner_link();
         }
     });
+    state_->loop.every(forecast_check_interval, [weak = std::weak_ptr(state_)] {
+        if (const auto self = weak.lock()) {
+            self->share_forecast();
+        }
+    });
 }
 
 void entry_node::set_queues(const std::map<queue_id, queue_rules>& queues) {
@@ -578,10 +662,25 @@
     auto call = std::make_shared<state::submit_call>();
     call->job = job;
     call->until = deadline(until.when() - response_reserve);
-    call->done = std::move(done);
+    call->done = [self = state_, job, done = std::move(done)](submit_outcome outcome) {
+        if (outcome == submit_outcome::refused) {
+            self->admission.report(job, {refusal_reason::store, self->retry_after(job.id)},
+                                   self->time.now());
+        }
+        done(outcome);
+    };
     state_->submit(call);
 }
 
+void entry_node::admit(const submitted_job& job, deadline until,
+                       const std::function<void(const std::optional<refusal>&)>& done) {
+    state_->admit(job, deadline(until.when() - response_reserve), done);
+}
+
+std::chrono::seconds entry_node::store_retry_after(const job_id& job) const {
+    return state_->retry_after(job);
+}
+
 void entry_node::status(const job_id& job, deadline until,
                         const std::function<void(lookup, job_phase)>& done) {
     state_->status(job, until, done);
--- a/libs/dispatch_node/src/owner_session.cpp
+++ b/libs/dispatch_node/src/owner_session.cpp
@@ -52,9 +52,10 @@
     return parts;
 }
 
-coordinator::options coordinator_options(const lease_timing& timing) {
+coordinator::options coordinator_options(const owner_session::environment& env) {
     coordinator::options options;
-    options.timing = timing;
+    options.timing = env.timing;
+    options.ordering = env.ordering;
     return options;
 }
 
@@ -68,7 +69,7 @@
     : env_(env),
       epoch_(epoch),
       unclaimed_runs_end_by_(unclaimed_runs_end_by),
-      coordinator_(coordinator_options(env.timing), *env.time, *this),
+      coordinator_(coordinator_options(env), *env.time, *this),
       early_cancellations_(*env.time, env.early_cancellation_lifetime) {}
 
 // ---------------------------------------------------------------------------------------------
--- a/libs/dispatch_node/src/owner_session.hpp
+++ b/libs/dispatch_node/src/owner_session.hpp
@@ -37,6 +37,7 @@
         ownership* owner = nullptr;
         lease_timing timing;
         milliseconds early_cancellation_lifetime{0};
+        ordering_rules ordering{};
     };
 
     // Runs on instances whose agents cannot be claimed have ended by `unclaimed_runs_end_by`.
@@ -52,6 +53,8 @@
     [[nodiscard]] bool is_job_list_current() const;
     [[nodiscard]] bool is_loaded() const noexcept { return is_loaded_; }
     [[nodiscard]] const coordinator& jobs() const noexcept { return coordinator_; }
+    // See coordinator::forecast.
+    [[nodiscard]] fleet_forecast make_forecast() { return coordinator_.forecast(agents_.size()); }
 
     void start(const instance_name& instance, const start_order& order) override;
     void stop(const instance_name& instance, const task_key& task, run_number run) override;
--- a/libs/dispatch_node/tests/malformed_messages_test.cpp
+++ b/libs/dispatch_node/tests/malformed_messages_test.cpp
@@ -23,9 +23,9 @@
 // of range.
 std::vector<std::string> malformed_messages() {
     std::vector<std::string> texts{"", "{", "[]", "7", "null", "{}", R"({"t":7})", "\xff\xfe"};
-    for (const char* kind :
-         {"hello", "status", "queued", "inventory", "superseded", "beat", "pressures", "started",
-          "stopped", "ends", "executor", "gone", "claim", "start", "stop", "ack", "grant"}) {
+    for (const char* kind : {"hello", "status", "queued", "inventory", "superseded", "beat",
+                             "pressures", "started", "stopped", "ends", "executor", "gone", "claim",
+                             "start", "stop", "ack", "grant", "forecast"}) {
         const std::string begin = std::string(R"({"t":")") + kind + R"(")";
         texts.push_back(begin + "}");
         texts.push_back(begin + R"(,"id":"x","job":4,"queue":[],"processors":"many"})");
