dispatch: compute the largest executors only after a change

Cause: each forecast compared every executor with all rows, label by label: with some hundred racks in a service the joined row has as many labels, and would be sent to each entry. Change: the rows are computed again only if an executor, its capacity or its labels changed, or one is no longer counted. A service whose rows need more than 256 labels is left out, and its jobs are admitted.

--- a/libs/dispatch/src/queue_forecast.cpp
+++ b/libs/dispatch/src/queue_forecast.cpp
@@ -69,9 +69,10 @@
 }
 
 bool exceeds(const shape& larger, const shape& other) {
-    return other.capacity.fits_in(larger.capacity) &&
-           std::includes(larger.labels.begin(), larger.labels.end(), other.labels.begin(),
-                         other.labels.end());
+    return other.capacity.fits_in(larger.capacity) && other.labels.size() <= larger.labels.size() &&
+           std::all_of(other.labels.begin(), other.labels.end(), [&](const std::string& label) {
+               return std::binary_search(larger.labels.begin(), larger.labels.end(), label);
+           });
 }
 
 resources max_of(const resources& a, const resources& b) {
@@ -180,6 +181,9 @@
     auto& known = entries_[instance];
     shape now_seen{info.capacity, info.labels};
     std::sort(now_seen.labels.begin(), now_seen.labels.end());
+    now_seen.labels.erase(std::unique(now_seen.labels.begin(), now_seen.labels.end()),
+                          now_seen.labels.end());
+    const auto earlier = known.shape;
     const bool is_other = known.service != info.service;
     // A capacity that has shrunk may grow again.
     if (is_other || exceeds(now_seen, known.shape) || last_seen - known.shape_seen >= max_age) {
@@ -188,6 +192,8 @@
     } else if (!exceeds(known.shape, now_seen)) {
         known.shape = join(known.shape, now_seen);
     }
+    is_changed_ =
+        is_changed_ || is_other || known.shape != earlier || last_seen - known.last_seen > max_age;
     known.service = info.service;
     known.last_seen = last_seen;
 }
@@ -210,17 +216,31 @@
     return complete_since_ && now - *complete_since_ >= settling_time;
 }
 
-std::map<service_id, std::vector<shape>> executor_census::largest(instant now) const {
-    std::map<service_id, std::vector<shape>> shapes;
+const std::map<service_id, std::vector<shape>>& executor_census::largest(instant now) {
+    static const std::map<service_id, std::vector<shape>> unsettled;
     if (!is_settled(now)) {
-        return shapes;
+        return unsettled;
     }
+    const auto counted = static_cast<std::size_t>(
+        std::count_if(entries_.begin(), entries_.end(),
+                      [&](const auto& row) { return now - row.second.last_seen <= max_age; }));
+    if (!is_changed_ && counted == counted_) {
+        return largest_;
+    }
+    is_changed_ = false;
+    counted_ = counted;
+    largest_.clear();
     for (const auto& [instance, known] : entries_) {
         if (now - known.last_seen <= max_age) {
-            add_maximal(shapes[known.service], known.shape);
+            add_maximal(largest_[known.service], known.shape);
         }
     }
-    return shapes;
+    std::erase_if(largest_, [](const auto& service) {
+        return std::any_of(service.second.begin(), service.second.end(), [](const shape& row) {
+            return row.labels.size() > max_labels_per_shape;
+        });
+    });
+    return largest_;
 }
 
 // ---------------------------------------------------------------------------------------------
--- a/libs/dispatch/src/queue_forecast.hpp
+++ b/libs/dispatch/src/queue_forecast.hpp
@@ -88,10 +88,15 @@
     // list incomplete for max_age.
     void update(std::size_t expected, instant now);
     [[nodiscard]] bool is_settled(instant now) const;
+    // Most labels of a row: 5 KB of names of 20 bytes, sent to each entry every 2 s. A service
+    // whose joined rows need more is left out.
+    static constexpr std::size_t max_labels_per_shape = 256;
+
     // The maximal executors of each service, with at most max_shapes_per_service rows: further ones
-    // are joined into one that exceeds them all. Empty unless the list is settled.
-    [[nodiscard]] std::map<service_id, std::vector<fleet_forecast::executor_shape>> largest(
-        instant now) const;
+    // are joined into one that exceeds them all. Empty unless the list is settled. They are
+    // computed again only after a change.
+    [[nodiscard]] const std::map<service_id, std::vector<fleet_forecast::executor_shape>>& largest(
+        instant now);
 
 private:
     struct entry {
@@ -103,6 +108,10 @@
     };
 
     std::map<instance_name, entry> entries_;
+    std::map<service_id, std::vector<fleet_forecast::executor_shape>> largest_;
+    bool is_changed_ = false;
+    // Number of entries that `largest_` counts.
+    std::size_t counted_ = 0;
     std::size_t expected_ = 0;
     instant expected_since_{};
     std::optional<instant> complete_since_;
--- a/libs/dispatch/tests/queue_forecast_test.cpp
+++ b/libs/dispatch/tests/queue_forecast_test.cpp
@@ -163,6 +163,44 @@
     }
 }
 
+// Guards against a list that is not computed again after a change.
+TEST_CASE("the largest executors follow new ones, other capacities and executors that return") {
+    executor_census census;
+    const auto at = [](int seconds) { return start + std::chrono::seconds(seconds); };
+    const auto cores = [&](int seconds) {
+        const auto& found = census.largest(at(seconds));
+        return found.empty() ? 0 : found.at(service).front().capacity.processors.value() / 1'000;
+    };
+    census.seen(instance_name("a"), executor(8), start);
+    census.seen(instance_name("b"), executor(4), start);
+    census.update(2, start);
+    CHECK(cores(10) == 8);
+    census.seen(instance_name("b"), executor(16), at(20));
+    CHECK(cores(20) == 16);
+    census.seen(instance_name("a"), executor(8), at(75));
+    CHECK(cores(79) == 16);
+    CHECK(cores(81) == 8);
+    census.seen(instance_name("b"), executor(16), at(90));
+    CHECK(cores(90) == 16);
+}
+
+// Guards against messages that grow with the labels of a large fleet.
+TEST_CASE(
+    "a service whose rows would need too many labels is left out, and its jobs are admitted") {
+    executor_census census;
+    for (int i = 0; i < 400; ++i) {
+        census.seen(instance_name(std::to_string(i)), executor(8, {"rack-" + std::to_string(i)}),
+                    start);
+    }
+    auto other = executor(8);
+    other.service = service_id("other");
+    census.seen(instance_name("other"), other, start);
+    census.update(401, start);
+    const auto& rows = census.largest(start + std::chrono::seconds(10));
+    CHECK(rows.count(service) == 0);
+    CHECK(rows.count(other.service) == 1);
+}
+
 // Guards against a prediction that does not follow the coordinator's state.
 TEST_CASE("a coordinator predicts a wait once its queue is longer than its capacity") {
     testing::world_options options;
