--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -584,6 +584,74 @@
     milliseconds pause_after_refusal{300};
 };
 
+class run_times;
+
+// Order in which steps of the same priority are placed.
+struct ordering_rules {
+    // Ranks and remaining work follow from measured run times instead of the declared ones, which
+    // can be wrong by 0.9 of their value.
+    bool uses_measured_run_times = true;
+    // One placement in this many goes to the oldest job that can yield no more benefit, while such
+    // a job waits; 0 means that these jobs get only what the others leave. A tenth of the capacity
+    // is what the requirements grant them (docs/two-customers.md, part 1).
+    std::uint32_t placements_per_late_turn = 10;
+};
+
+// What an entry needs to decide on a submission; see decide_admission.
+struct fleet_forecast {
+    struct executor_shape {
+        resources capacity;
+        // Sorted.
+        std::vector<std::string> labels;
+
+        friend bool operator==(const executor_shape&, const executor_shape&) = default;
+    };
+    struct queue_delay {
+        // From the acceptance of a job to the start of its first task.
+        milliseconds start{0};
+        // From that start to the end of the job, for each second of its critical path.
+        milliseconds end_per_s{1'000};
+
+        friend bool operator==(const queue_delay&, const queue_delay&) = default;
+    };
+    // For each service, executors such that each executor of the service, in whatever state, is
+    // matched or exceeded by one of them. A service is left out if that is not known.
+    std::map<service_id, std::vector<executor_shape>> services;
+    std::map<queue_id, queue_delay> queues;
+
+    friend bool operator==(const fleet_forecast&, const fleet_forecast&) = default;
+};
+
+// Limit on the rows of a service in a forecast: 4 KB with three labels each.
+constexpr std::size_t max_shapes_per_service = 32;
+
+enum class refusal_reason : std::uint8_t {
+    // No executor of the service can ever hold one of the tasks.
+    never_fits,
+    // The job would end too late to yield any benefit.
+    overload,
+    // The table service does not answer.
+    store,
+};
+[[nodiscard]] std::string_view name(refusal_reason reason) noexcept;
+
+struct refusal {
+    refusal_reason reason = refusal_reason::overload;
+    // Unset if repeating the submission is of no use.
+    std::optional<std::chrono::seconds> retry_after;
+};
+
+// Decides whether a job is refused by the forecast; std::nullopt admits it. `refuses_overload` is
+// the setting scheduling.admission. Timed jobs and jobs with long-running tasks are never refused
+// for overload: they yield benefit whenever they run.
+[[nodiscard]] std::optional<refusal> decide_admission(const submitted_job& job,
+                                                      const fleet_forecast& forecast,
+                                                      bool refuses_overload);
+// When a job that is refused because the store does not answer is to be submitted again: `silence`
+// is the time since the store's last answer, `longest_outage` the longest of the recent outages.
+[[nodiscard]] std::chrono::seconds store_retry_after(const job_id& job, milliseconds silence,
+                                                     milliseconds longest_outage);
+
 // Decides what runs where for all jobs of a system. The caller ensures that only one process at a
 // time writes progress rows (see libs/dispatch_node). All state needed after a takeover is in the
 // rows: add_job and restore rebuild it, instance_claimed adds what agents report.
@@ -604,6 +672,7 @@
         // Among steps of the same priority and rank, those of the queue with the smallest share of
         // its service in use go first.
         bool has_fair_shares = true;
+        ordering_rules ordering;
     };
 
     coordinator(options settings, const clock& time, coordinator_orders& orders);
@@ -715,6 +784,12 @@
     // The share of its service's capacity that each queue with assigned tasks has in use, in
     // thousandths: the largest of its shares of processors, memory and accelerators.
     [[nodiscard]] std::map<queue_id, std::int64_t> queue_shares() const;
+    // Run times by image as measured under this coordinator.
+    [[nodiscard]] const run_times& measured_run_times() const;
+    // Predicts from the current state when a job of each queue would start and end, and lists the
+    // executors. `expected_instances` is the number of registered agents. Takes a walk over all
+    // open tasks: meant for two calls a second.
+    [[nodiscard]] fleet_forecast forecast(std::size_t expected_instances);
 
     struct state;
 
--- a/libs/dispatch/src/coordinator.cpp
+++ b/libs/dispatch/src/coordinator.cpp
@@ -114,6 +114,7 @@
         }
     }
     lay_out_rows(added, state_->config.tasks_per_row);
+    state_->note_added(added);
     state_->active_jobs.insert(job.id);
     if (job.spec.occurrences == 0) {
         ++state_->queued_job_counts[job.queue];
@@ -308,6 +309,7 @@
             task->phase = task_phase::running;
             task->phase_since = state_->time.now();
             task->progressed_at = task->phase_since;
+            task->measurement.began_at = task->phase_since;
         }
         return;
     }
@@ -368,6 +370,7 @@
         auto* task = state_->find_task(run.task);
         state_->mark_begun(run.task, *task);
         state_->record_checkpoint(run.task, *task, run.checkpoint);
+        state_->note_pace(state_->spec_of(run.task), *task, run.measurement);
         if (run.percent != task->percent) {
             task->percent = run.percent;
             task->progressed_at = state_->time.now();
@@ -407,6 +410,10 @@
     return state_->shares.permille();
 }
 
+const run_times& coordinator::measured_run_times() const {
+    return state_->measured_run_times;
+}
+
 coordinator::counts coordinator::count() const {
     counts result;
     result.jobs = state_->active_jobs.size();
--- a/libs/dispatch/src/coordinator_state.hpp
+++ b/libs/dispatch/src/coordinator_state.hpp
@@ -7,9 +7,12 @@
 #include <unordered_set>
 
 #include "crashes.hpp"
+#include "late_turns.hpp"
 #include "long_running_reservation.hpp"
 #include "permits.hpp"
 #include "placement.hpp"
+#include "queue_forecast.hpp"
+#include "run_times.hpp"
 #include "shares.hpp"
 #include "tanagerpaddle/dispatch.hpp"
 
@@ -27,6 +30,15 @@
     succeeded,
 };
 
+// What the current run tells of the run time of its image.
+struct run_measurement {
+    // When the run was reported as started; unset if this owner was not told.
+    std::optional<instant> began_at;
+    // The run takes as long as its work does: it neither resumed from a checkpoint nor was it
+    // throttled, and it is on the rack that it prefers.
+    bool is_representative = false;
+};
+
 struct task_state {
     task_phase phase = task_phase::waiting;
     run_number run;
@@ -54,6 +66,7 @@
     // Since when the task is known to have no run; unset while it has one, or may have one.
     std::optional<instant> without_run_since;
     crash_history crashes;
+    run_measurement measurement;
 
     [[nodiscard]] bool occupies_instance() const noexcept {
         return phase != task_phase::waiting && phase != task_phase::succeeded;
@@ -166,7 +179,7 @@
 
 struct coordinator::state {
     state(options settings, const clock& source, coordinator_orders& sink)
-        : config(settings), time(source), orders(sink) {}
+        : config(settings), time(source), orders(sink), turns(settings.ordering) {}
 
     // Phases, starts and completions that a write in progress makes durable.
     struct job_write {
@@ -312,6 +325,21 @@
     void report_waiting_tasks();
     void report_waiting_step(job_state& job, std::uint32_t occurrence, std::uint32_t step);
 
+    // --- run times (ordering.cpp)
+    // The run times that the order uses; nullptr for the declared ones.
+    [[nodiscard]] const run_times* ordering_run_times() const;
+    static void begin_measurement(const ready_step& step, task_state& task,
+                                  const instance_state& instance);
+    // Marks a filler that uses less than its demand as throttled.
+    void note_pace(const step_spec& spec, task_state& task, std::int64_t millicores_used) const;
+    void record_run_time(const task_key& key, const task_state& task);
+
+    // --- forecast (queue_forecast.cpp)
+    void note_added(const job_state& job);
+    // What the services have now; records the executors in the census.
+    std::map<service_id, service_supply> collect_supply();
+    [[nodiscard]] fleet_forecast make_forecast(std::size_t expected_instances);
+
     // --- placement (planning.cpp, stalls.cpp)
     void release_due_occurrences();
     void expire_instances();
@@ -349,6 +377,10 @@
     std::map<queue_id, std::int64_t> queued_job_counts;
     instant inspected_at;
     interference_model interference;
+    run_times measured_run_times;
+    late_turns turns;
+    fleet_load load;
+    executor_census census;
     // Smallest filler demand in millicores for which the current pass found no instance, by image
     // and by whether the step has to leave room for the serving tasks' load.
     std::map<std::pair<std::string, bool>, std::int64_t> unplaceable_fillers;
--- a/libs/dispatch/src/placement.hpp
+++ b/libs/dispatch/src/placement.hpp
@@ -105,6 +105,8 @@
     int rank = 0;
     // Estimated remaining work of the job.
     double core_seconds_left = 0;
+    // Start of the job's objective.
+    instant due_at;
     instant objective;
     // Long-running tasks, which are placed before others of their priority.
     bool has_precedence = false;
@@ -113,9 +115,14 @@
     bool is_starved = false;
     // Leaves room for the rise of the serving tasks' own load; see filler_rules.
     bool reserves_slack = true;
+    // A waiting task may have crashed an executor.
+    bool has_suspect = false;
     std::vector<std::uint32_t> waiting;
 };
 
+// Late jobs yield a reduced benefit up to this multiple of their objective.
+inline constexpr int late_objective_factor = 3;
+
 // Ranks a job by the benefit it can still yield: 0 full (within its objective), 1 reduced (late), 2
 // none. `accepted` is the start of the objective, `chain` the estimated run time of the longest
 // chain of steps, `left` its remaining part.
--- a/libs/dispatch/src/task_lifecycle.cpp
+++ b/libs/dispatch/src/task_lifecycle.cpp
@@ -71,6 +71,7 @@
     update_demand(instance, spec_of(key), true);
     const auto& job = find_job(key.job)->submitted;
     shares.add_use(job.queue, job.rules.service, spec_of(key).demand);
+    load.task_assigned(job.rules, spec_of(key));
 }
 
 void coordinator::state::unassign(const task_key& key, task_state& task) {
@@ -86,6 +87,7 @@
     update_demand(instance, spec_of(key), false);
     const auto& job = find_job(key.job)->submitted;
     shares.remove_use(job.queue, job.rules.service, spec_of(key).demand);
+    load.task_unassigned(job.rules, spec_of(key));
     task.instance.reset();
 }
 
@@ -312,6 +314,7 @@
     }
     const bool is_long_running = spec_of(completion.task).is_long_running;
     if (completion.outcome == run_outcome::succeeded && !is_long_running) {
+        record_run_time(completion.task, *task);
         mark_succeeded(completion.task, *task, index);
         return;
     }
@@ -456,6 +459,8 @@
             task.incarnation = found.executor->incarnation;
             mark_begun(key, task);
             task.progressed_at = time.now();
+            // It may have ended some time before the link is back.
+            task.measurement.is_representative = false;
             orders.send_traits(instances[index].name, key, traits_of(spec_of(key)));
             continue;
         }
--- a/libs/dispatch_node/include/tanagerpaddle/dispatch_node.hpp
+++ b/libs/dispatch_node/include/tanagerpaddle/dispatch_node.hpp
@@ -209,6 +209,10 @@
     // Capacity is reserved for long-running tasks that have no run.
     bool has_long_running_reservation = true;
     bool has_shares = true;
+    // Jobs are ordered by measured run times.
+    bool uses_measured_run_times = true;
+    // Jobs that could only be served too late are refused; see decide_admission.
+    bool refuses_overload = false;
 };
 
 struct entry_options {
@@ -247,6 +251,13 @@
     void set_queues(const std::map<queue_id, queue_rules>& queues);
     void set_evacuated(const std::set<failure_domain_id>& domains);
 
+    // Decides by the owner's forecast whether a job is to be refused before it is submitted; calls
+    // `done` by `until`. Nothing is sent to the store. A job that the owner knows is not refused,
+    // nor is any without a current forecast.
+    void admit(const submitted_job& job, deadline until,
+               const std::function<void(const std::optional<refusal>&)>& done);
+    // When a caller whose job was refused by submit should submit it again.
+    [[nodiscard]] std::chrono::seconds store_retry_after(const job_id& job) const;
     // Stores the job and calls `done` by `until`. A job that is already stored is accepted.
     void submit(const submitted_job& job, deadline until, std::function<void(submit_outcome)> done);
 
