dispatch: cheaper reservations, and a test of them beside random faults

Cause: a decision on a reservation sorted the tasks of every instance twice: 7.4 ms at 3,200 instances of 30 tasks. Reservations had been tested beside single faults only.

Change: holders are sorted once for all decisions of a pass, ends later than the time of preemption are not sorted, and no preemption is planned once an instance without it is known. New case with random crashes, cuts, takeovers and failing or slow writes.

--- a/libs/dispatch/src/long_running.cpp
+++ b/libs/dispatch/src/long_running.cpp
@@ -18,8 +18,8 @@
 // Interval at which a reservation is tried again after no instance could be reserved: choosing one
 // visits the tasks of all instances, as the inspection of running tasks at the same interval does.
 constexpr milliseconds reservation_retry_interval{300};
-// Reservations decided in one pass, which bounds its processor time; passes come at least 10 times
-// a second.
+// Reservations decided in one pass: by measurement 64 take 0.2 s with 3,200 instances of 30 tasks,
+// less than the agents' heartbeat interval.
 constexpr std::size_t max_reservations_per_pass = 64;
 // Time without a run after which a long-running task is reported, and the interval of the reports.
 constexpr milliseconds min_wait_to_report{1'000};
@@ -214,6 +214,7 @@
         holder.ends_at = time.now() + expected_stop_time;
         view.holders.push_back(holder);
     }
+    sort_holders(view);
     return view;
 }
 
--- a/libs/dispatch/src/long_running_reservation.cpp
+++ b/libs/dispatch/src/long_running_reservation.cpp
@@ -20,7 +20,7 @@
     return holder.is_preemptible && holder.priority >= request.priority;
 }
 
-// When the demand fits if no task is stopped; std::nullopt if that is not known.
+// When the demand fits if no task is stopped; std::nullopt if it does not by `preempt_at`.
 std::optional<instant> expected_at(const reservable_instance& instance,
                                    const capacity_request& request, instant now) {
     resources available = instance.free;
@@ -28,11 +28,16 @@
         return now;
     }
     std::vector<std::pair<instant, const capacity_holder*>> ends;
+    resources free_in_time = available;
     for (const auto& holder : instance.holders) {
-        if (holder.ends_at) {
+        if (holder.ends_at && *holder.ends_at <= request.preempt_at) {
+            free_in_time += holder.held;
             ends.emplace_back(*holder.ends_at, &holder);
         }
     }
+    if (!request.demand.fits_in(free_in_time)) {
+        return std::nullopt;
+    }
     std::sort(ends.begin(), ends.end());
     for (const auto& [at, holder] : ends) {
         available += holder->held;
@@ -49,6 +54,13 @@
 }
 
 // Tasks with checkpoints first, then those with the least work done.
+bool is_preempted_before(const capacity_holder& a, const capacity_holder& b) {
+    return std::tuple(!a.writes_checkpoints, a.core_seconds_done) <
+               std::tuple(!b.writes_checkpoints, b.core_seconds_done) ||
+           (a.writes_checkpoints == b.writes_checkpoints &&
+            a.core_seconds_done == b.core_seconds_done && a.task < b.task);
+}
+
 std::vector<const capacity_holder*> preemption_order(const reservable_instance& instance,
                                                      const capacity_request& request) {
     std::vector<const capacity_holder*> order;
@@ -57,10 +69,10 @@
             order.push_back(&holder);
         }
     }
-    std::sort(order.begin(), order.end(), [](const auto* a, const auto* b) {
-        return std::tuple(!a->writes_checkpoints, a->core_seconds_done, a->task) <
-               std::tuple(!b->writes_checkpoints, b->core_seconds_done, b->task);
-    });
+    const auto precedes = [](const auto* a, const auto* b) { return is_preempted_before(*a, *b); };
+    if (!std::is_sorted(order.begin(), order.end(), precedes)) {
+        std::sort(order.begin(), order.end(), precedes);
+    }
     return order;
 }
 
@@ -121,16 +133,17 @@
     capacity_plan plan;
 };
 
+// Plans with preemption only if `may_stop` is true.
 std::optional<scored_plan> score_plan(const reservable_instance& instance,
-                                      const capacity_request& request, instant now) {
+                                      const capacity_request& request, instant now, bool may_stop) {
     const bool is_avoided = request.avoided_instance == instance.index;
     const auto expected = expected_at(instance, request, now);
-    if (expected && *expected <= request.preempt_at) {
+    if (expected) {
         const auto wait = std::chrono::duration_cast<milliseconds>(*expected - now);
         return scored_plan{{is_avoided, false, wait / time_resolution, !instance.is_reserved, 0},
                            {instance.index, *expected, {}}};
     }
-    const auto preempted = choose_preempted(instance, request, now);
+    const auto preempted = may_stop ? choose_preempted(instance, request, now) : std::nullopt;
     if (!preempted) {
         return std::nullopt;
     }
@@ -144,9 +157,13 @@
 
 }  // namespace
 
+void sort_holders(reservable_instance& instance) {
+    std::sort(instance.holders.begin(), instance.holders.end(), is_preempted_before);
+}
+
 std::optional<capacity_plan> plan_capacity(const reservable_instance& instance,
                                            const capacity_request& request, instant now) {
-    auto found = score_plan(instance, request, now);
+    auto found = score_plan(instance, request, now, true);
     return found ? std::optional(std::move(found->plan)) : std::nullopt;
 }
 
@@ -159,7 +176,9 @@
             !is_allowed(instance.index)) {
             continue;
         }
-        auto found = score_plan(instance, request, now);
+        // A plan without preemption on an instance that is not avoided is better than any with it.
+        const bool may_stop = !best || best->score > plan_score{false, true, 0, false, 0};
+        auto found = score_plan(instance, request, now, may_stop);
         if (found && (!best || found->score < best->score)) {
             best = std::move(found);
         }
--- a/libs/dispatch/src/long_running_reservation.hpp
+++ b/libs/dispatch/src/long_running_reservation.hpp
@@ -59,6 +59,9 @@
     std::vector<task_key> preempted;
 };
 
+// Puts the holders in the order of preemption, in which the functions below find them soonest; any
+// other order gives the same plans.
+void sort_holders(reservable_instance& instance);
 // The plan for one instance; std::nullopt if the demand does not fit there even after preemption.
 [[nodiscard]] std::optional<capacity_plan> plan_capacity(const reservable_instance& instance,
                                                          const capacity_request& request,
--- a/libs/dispatch/tests/long_running_capacity_test.cpp
+++ b/libs/dispatch/tests/long_running_capacity_test.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdlib>
 #include <map>
 #include <set>
 
@@ -291,3 +292,38 @@
     // Room for two standing tasks of 13 cores is made by ten short ones of 2.9 cores at most.
     CHECK(preempted <= 10);
 }
+
+// Reservations and preemption beside faults of every kind: no invariant is violated, and once the
+// system has been calm for 7 s no long-running task is without a run for more than 6 s.
+TEST_CASE("in a full service with random faults, long-running tasks run again once it is calm") {
+    const char* wanted = std::getenv("TANAGERPADDLE_SEEDS");
+    const std::uint64_t seeds = wanted == nullptr ? 20 : std::strtoull(wanted, nullptr, 10);
+    std::size_t preempted = 0;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        CAPTURE(seed);
+        load shape = overfull();
+        shape.seed = seed;
+        shape.time_to_fill = milliseconds(15'000);
+        replay play(shape);
+        world_faults faults;
+        faults.executor_crash = 0.03;
+        faults.link_cut = 0.05;
+        faults.agent_restart = 0.05;
+        faults.takeover = 0.1;
+        faults.store_outage = 0.05;
+        faults.lost_answer = 0.02;
+        faults.lost_write_answer = 0.05;
+        faults.slow_write = 0.02;
+        play.system.set_faults(faults);
+        play.run_for(milliseconds(20'000));
+        play.system.set_faults({});
+        // Faults that have begun last for up to 9 s.
+        play.run_for(milliseconds(9'000) + milliseconds(7'000));
+        play.check_restarts();
+        preempted += play.system.preempted().size();
+        for (const auto& violation : play.system.violations()) {
+            FAIL_CHECK("seed " << seed << ": " << violation);
+        }
+    }
+    CHECK(preempted > 0);
+}
