telemetry: a log on a stream never waits for its reader

Change: standard output and error are written only when poll says that they take 4 KiB, in pieces of at most that size. Up to 1 MiB of lines is kept and written with later ones; further lines are dropped and counted in a line log_lines_dropped. The flags of the descriptor stay as they are. What is kept at the end of the process and not taken is lost.

--- a/libs/telemetry/include/tanagerpaddle/telemetry.hpp
+++ b/libs/telemetry/include/tanagerpaddle/telemetry.hpp
@@ -91,7 +91,7 @@
 // Writes one JSON object a line: ts (UTC, RFC 3339, milliseconds), level, event, role, id, then
 // the fields. Lines are valid JSON whatever the texts contain: bytes that are not UTF-8 become
 // U+FFFD, texts are cut at 8 KiB, and a field with a reserved name gets the prefix "field_".
-// Thread-safe; a line has been handed to the operating system when log() returns.
+// Thread-safe. A file has the line when log() returns; a stream never blocks and may drop it.
 class event_log {
 public:
     // Throws error(invalid_settings) if the file cannot be opened.
--- a/libs/telemetry/src/log.cpp
+++ b/libs/telemetry/src/log.cpp
@@ -1,11 +1,12 @@
 #include <spdlog/logger.h>
 #include <spdlog/sinks/basic_file_sink.h>
-#include <spdlog/sinks/stdout_sinks.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <array>
 #include <nlohmann/json.hpp>
 
+#include "stream_sink.hpp"
 #include "telemetry_internal.hpp"
 
 namespace tanagerpaddle {
@@ -19,12 +20,11 @@
 // Event names are a small fixed set; a caller that passes generated names shares one budget.
 constexpr std::size_t max_limited_events = 1'024;
 
-std::shared_ptr<spdlog::sinks::sink> make_sink(const std::string& file) {
-    if (file.empty()) {
-        return std::make_shared<spdlog::sinks::stderr_sink_mt>();
-    }
-    if (file == "-") {
-        return std::make_shared<spdlog::sinks::stdout_sink_mt>();
+std::shared_ptr<spdlog::sinks::sink> make_sink(
+    const std::string& file, std::function<std::string(std::uint64_t)> make_notice) {
+    if (file.empty() || file == "-") {
+        return std::make_shared<telemetry_detail::stream_sink>(
+            file.empty() ? STDERR_FILENO : STDOUT_FILENO, std::move(make_notice));
     }
     try {
         return std::make_shared<spdlog::sinks::basic_file_sink_mt>(file);
@@ -58,14 +58,15 @@
         : options(log_options),
           time(log_clock),
           threshold(log_options.threshold),
-          logger("events", make_sink(log_options.file)) {
+          logger("events", make_sink(log_options.file,
+                                     [this](std::uint64_t count) { return notice_of(count); })) {
         logger.set_pattern("%v");
         logger.set_level(spdlog::level::trace);
         logger.flush_on(spdlog::level::trace);
     }
 
-    void write(log_level level, std::string_view event, std::span<const field> fields,
-               std::uint64_t suppressed) {
+    // Fields that each line begins with.
+    json begin_line(log_level level, std::string_view event) const {
         json line = json::object();
         line["ts"] = telemetry_detail::rfc3339(time.utc_now());
         line["level"] = std::string(name(level));
@@ -76,6 +77,18 @@
         if (!options.id.empty()) {
             line["id"] = options.id;
         }
+        return line;
+    }
+
+    std::string notice_of(std::uint64_t dropped) const {
+        json line = begin_line(log_level::warning, "log_lines_dropped");
+        line["count"] = dropped;
+        return telemetry_detail::dump(line);
+    }
+
+    void write(log_level level, std::string_view event, std::span<const field> fields,
+               std::uint64_t suppressed) {
+        json line = begin_line(level, event);
         if (suppressed > 0) {
             line["suppressed"] = suppressed;
         }
