--- a/libs/eventio/include/tanagerpaddle/eventio.hpp
+++ b/libs/eventio/include/tanagerpaddle/eventio.hpp
@@ -34,8 +34,8 @@
 // A listener's part of the descriptors that connections may use, in thousandths.
 using listener_share = strong_number<struct listener_share_tag, std::uint32_t>;
 
-// Bounds on what the clients of a process can make it hold. A message is closed, a request refused
-// with 503 or its connection closed, where a bound would be exceeded.
+// Bounds on what the clients of a process can make it hold. Where one would be exceeded, a request
+// is refused with 503, or a connection or link is closed.
 struct process_limits {
     // Descriptors of the process; zero stands for its RLIMIT_NOFILE.
     std::size_t max_descriptors = 0;
