eventio: links of limits_test no longer own themselves

Cause: handlers held the link that owns them, which leaked in the test. Change: the handlers hold nothing of the link.

--- a/libs/eventio/tests/limits_test.cpp
+++ b/libs/eventio/tests/limits_test.cpp
@@ -311,9 +311,9 @@
     loop.set_limits(limits);
     std::vector<std::string> received;
     message_server server(
-        loop, local_endpoint(first_port + 6), [&](const std::shared_ptr<message_link>& link) {
-            return link_handlers{
-                [&received, link](const std::string& text) { received.push_back(text); }, [] {}};
+        loop, local_endpoint(first_port + 6), [&](const std::shared_ptr<message_link>&) {
+            return link_handlers{[&received](const std::string& text) { received.push_back(text); },
+                                 [] {}};
         });
     const std::string announced{'\0', '\x7f', '\0', '\0'};
     std::vector<std::unique_ptr<raw_client>> announcing;
@@ -346,8 +346,8 @@
     loop.set_limits(limits);
     std::size_t received = 0;
     message_server server(
-        loop, local_endpoint(first_port + 7), [&](const std::shared_ptr<message_link>& link) {
-            return link_handlers{[&received, link](const std::string&) { ++received; }, [] {}};
+        loop, local_endpoint(first_port + 7), [&](const std::shared_ptr<message_link>&) {
+            return link_handlers{[&received](const std::string&) { ++received; }, [] {}};
         });
     raw_client own(local_endpoint(first_port + 7));
     const std::string message = std::string{'\0', '\0', '\0', '\x02'} + "ok";
