dispatch: tasks wait for their preferred rack while that pays

Change: with scheduling.off_rack_factor over 1 a step that finds no place on its rack gets a deadline, ready + min(gain, what the slack allows), or now if the forecast of the rack (predicted ends of the tasks there, steps ahead that wait for it, its limits and permits) has no places by then. The end of a step and the deadline are in progress rows that are written anyway. Batch tasks that do not want a rack prefer other instances while steps want it. With factor 1 nothing is decided and no row changes.

--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -437,6 +437,19 @@
     std::vector<suspect> suspects;
 };
 
+// How long the tasks of a step start only on one rack, as decided while the step waits.
+struct locality_wait {
+    step_key step;
+    rack_id rack;
+    // Afterwards they start anywhere; not after now if the step does not wait any more.
+    milliseconds until_in{0};
+    // What a task saves by running on the rack.
+    milliseconds gain{0};
+    // Time until the last waiting task can start on the rack; unset if that is not before the end
+    // of the wait, or cannot be told yet.
+    std::optional<milliseconds> predicted;
+};
+
 // Orders that leave the coordinator.
 class coordinator_orders {
 public:
@@ -465,6 +478,11 @@
     // the row, so that a task restarts from its beginning after a change of the owner. Reported
     // once for each task.
     virtual void report_unstored_checkpoint(const task_key& /*task*/, std::size_t /*bytes*/) {}
+    // For the log only: a wait was decided, or ended before its deadline.
+    virtual void report_locality_wait(const locality_wait& /*wait*/) {}
+    // For metrics only: a task of a step with such a wait is placed, this long after the step was
+    // ready.
+    virtual void report_locality_start(milliseconds /*waited*/, bool /*is_on_rack*/) {}
 };
 
 // How the coordinator recognises a task that crashes the executors that start it. Such a task
@@ -543,6 +561,12 @@
     std::size_t min_moves = 4;
 };
 
+// Waiting for a place near a step's data (`preferred_rack`) or near its group (`is_single_rack`).
+struct delay_rules {
+    // Run time off the rack, as a multiple of that on it. At 1 no step waits.
+    double off_rack_factor = 1;
+};
+
 // Decides what runs where for all jobs of a system. The caller ensures that only one process at a
 // time writes progress rows (see libs/dispatch_node). All state needed after a takeover is in the
 // rows: add_job and restore rebuild it, instance_claimed adds what agents report.
@@ -559,6 +583,7 @@
         std::uint32_t tasks_per_row = max_tasks_per_row;
         filler_rules fillers;
         crash_rules crashes;
+        delay_rules delays;
     };
 
     coordinator(options settings, const clock& time, coordinator_orders& orders);
--- a/libs/dispatch/src/coordinator_state.hpp
+++ b/libs/dispatch/src/coordinator_state.hpp
@@ -7,6 +7,7 @@
 #include <unordered_set>
 
 #include "crashes.hpp"
+#include "delay_scheduling.hpp"
 #include "permits.hpp"
 #include "placement.hpp"
 #include "tanagerpaddle/dispatch.hpp"
@@ -46,6 +47,8 @@
     executor_incarnation incarnation;
     instant started_at;
     bool has_begun = false;
+    // When this coordinator sent the start of the current run; unset if an earlier one did.
+    std::optional<instant> sent_at;
     // Runs other than the current one that are being stopped, and the instance of the newest.
     std::uint32_t orphaned_runs = 0;
     std::optional<std::size_t> orphan_instance;
@@ -56,6 +59,16 @@
     }
 };
 
+// The wait of a step for a place on a rack; see delay_scheduling.hpp.
+struct rack_wait {
+    // The preferred rack, or the one chosen for a step whose tasks run on a single rack.
+    rack_id rack;
+    // Until then tasks start only on the rack; unset while that is not decided. Never moves later.
+    std::optional<instant> until;
+    // The same for progress rows.
+    utc_millis until_utc;
+};
+
 struct step_state {
     std::vector<task_state> tasks;
     std::uint32_t succeeded = 0;
@@ -64,6 +77,9 @@
     std::uint64_t offset = 0;
     // Since when the step has been ready and had tasks without an instance.
     std::optional<instant> waiting_since;
+    // When the last task succeeded; known only if later steps may wait for a rack.
+    std::optional<utc_millis> ended_at;
+    rack_wait wait;
 
     [[nodiscard]] bool is_done() const noexcept { return succeeded == tasks.size(); }
 };
@@ -142,6 +158,29 @@
     std::vector<std::array<std::uint32_t, 3>> succeeded;
     // The executors that the instances in `histories` had.
     std::map<instance_name, executor_incarnation> executors;
+    // What later owners need to go on with waits for racks: when steps have ended, and until when
+    // steps wait.
+    struct step_time {
+        std::uint32_t occurrence = 0;
+        std::uint32_t step = 0;
+        utc_millis at;
+    };
+    std::vector<step_time> step_ends;
+    std::vector<step_time> wait_ends;
+};
+
+// Memory of the waits for racks beside that of the steps.
+struct rack_wait_memory {
+    // Decisions are made in passes at this distance; see rack_waits.cpp.
+    instant reviewed_at;
+    bool is_review = false;
+    // By rack; built when a task finds no place there, and dropped at the next review.
+    std::map<rack_id, rack_forecast> forecasts;
+    // When a step last wanted the rack.
+    std::map<rack_id, instant> wanted_at;
+    off_rack_factors factors;
+    // Tasks with checkpoints that were placed off their rack.
+    std::set<task_key> off_rack_tasks;
 };
 
 [[nodiscard]] task_traits traits_of(const step_spec& spec);
@@ -160,7 +199,7 @@
 
 struct coordinator::state {
     state(options settings, const clock& source, coordinator_orders& sink)
-        : config(settings), time(source), orders(sink) {}
+        : config(settings), time(source), orders(sink), begun_at(source.now()) {}
 
     // Phases, starts and completions that a write in progress makes durable.
     struct job_write {
@@ -279,6 +318,29 @@
                                                         placement_context context);
     [[nodiscard]] bool is_quiet(const instance_state& instance) const;
 
+    // --- waits for racks (rack_waits.cpp)
+    [[nodiscard]] bool may_wait_for_rack(const step_spec& spec) const;
+    [[nodiscard]] milliseconds run_time_of(const step_spec& spec) const;
+    [[nodiscard]] instant instant_of(utc_millis utc) const;
+    [[nodiscard]] instant ready_time(const step_key& key);
+    [[nodiscard]] wait_terms terms_of(const ready_step& step);
+    // Begins a pass over the ready steps.
+    void begin_rack_pass();
+    // The rack on which tasks of the step start now; empty if any rack will do.
+    [[nodiscard]] rack_id rack_to_wait_for(const ready_step& step);
+    // No place was found on `context.rack` for the last `remaining` tasks of the step. True if they
+    // do not wait for one any more.
+    [[nodiscard]] bool gives_up_rack(const ready_step& step, const placement_context& context,
+                                     std::size_t remaining);
+    rack_forecast& forecast_of(const rack_id& rack, const placement_context& context);
+    [[nodiscard]] std::uint32_t places_on(std::size_t instance, const ready_step& step,
+                                          const placement_context& context) const;
+    void record_rack_start(const ready_step& step, const task_key& key, std::size_t instance);
+    void record_rack_run(const task_key& key, const task_state& task);
+    void record_step_end(const task_key& key);
+    // Takes the times of a progress row over; returns false if one of them belongs to no step.
+    bool restore_waits(job_state& job, const progress_record& record);
+
     // --- placement (planning.cpp)
     void release_due_occurrences();
     void expire_instances();
@@ -299,6 +361,7 @@
     options config;
     const clock& time;
     coordinator_orders& orders;
+    instant begun_at;
     std::vector<instance_state> instances;
     std::map<instance_name, std::size_t> index_by_name;
     std::unordered_map<job_id, job_state> jobs;
@@ -315,6 +378,7 @@
     std::map<queue_id, std::int64_t> queued_job_counts;
     instant inspected_at;
     interference_model interference;
+    rack_wait_memory rack_waits;
     // Smallest filler demand in millicores for which the current pass found no instance, by image
     // and by whether the step has to leave room for the serving tasks' load.
     std::map<std::pair<std::string, bool>, std::int64_t> unplaceable_fillers;
--- a/libs/dispatch/src/placement.cpp
+++ b/libs/dispatch/src/placement.cpp
@@ -20,8 +20,6 @@
 // Share of the processors reserved by serving tasks that fillers may use: serving tasks reserve for
 // their peak.
 constexpr std::int64_t reclaimable_percent = 50;
-// Late jobs yield a reduced benefit up to this multiple of their objective.
-constexpr int late_objective_factor = 3;
 
 // Slack assumed for a serving task without measurements; allows a few fillers.
 constexpr double unmeasured_slack = 0.1;
@@ -131,6 +129,17 @@
     return instance.serving_tasks_by_image.contains(image) ? 0 : 2;
 }
 
+// Added to the preference of a batch task for an instance on a rack that other steps want; exceeds
+// the differences between the preferences.
+constexpr int wanted_rack_preference = 3;
+
+int rack_preference(const instance_state& instance, const step_spec& spec) {
+    const bool is_others =
+        instance.is_on_wanted_rack && (spec.preferred_rack.empty() ||
+                                       !has_label(*instance.executor, spec.preferred_rack.value()));
+    return is_others ? wanted_rack_preference : 0;
+}
+
 // Weights of the penalties; a higher one goes before the sum of the lower ones.
 constexpr int near_suspect_penalty = 1;
 constexpr int off_rack_penalty = 2;
@@ -163,7 +172,9 @@
     const std::int64_t remaining_millicores =
         instance.free().processors.value() - spec.demand.processors.value();
     if (spec.is_filler) {
-        return {penalty, filler_preference(instance, spec.image, *context.interference),
+        return {penalty,
+                filler_preference(instance, spec.image, *context.interference) +
+                    rack_preference(instance, spec),
                 -instance.idle_millicores()};
     }
     if (spec.tail_target.count() > 0) {
@@ -174,7 +185,9 @@
     }
     // Other tasks cause no interference: they go to instances with serving tasks first and then to
     // the fullest ones, which keeps capacity for large tasks.
-    return {penalty, instance.serving_tasks_by_image.empty() ? 1 : 0, remaining_millicores};
+    return {penalty,
+            (instance.serving_tasks_by_image.empty() ? 1 : 0) + rack_preference(instance, spec),
+            remaining_millicores};
 }
 
 }  // namespace
@@ -252,6 +265,10 @@
     return context.permits == nullptr || context.permits->count(executor.id) > 0;
 }
 
+bool is_on_rack(const executor_info& executor, const placement_context& context) {
+    return context.rack.empty() || has_label(executor, context.rack.value());
+}
+
 bool can_start(instance_state& instance, const ready_step& step, const placement_context& context) {
     if (!accepts_starts(instance, context) || !is_eligible(*instance.executor, step)) {
         return false;
@@ -264,12 +281,10 @@
     if (is_kept_from_others && !context.checks_capacity_only) {
         return false;
     }
-    const bool is_on_rack =
-        context.rack.empty() || has_label(*instance.executor, context.rack.value());
     const bool is_spread = step.spec->max_per_executor == 0 ||
                            count_step_tasks(instance, step.key) < step.spec->max_per_executor;
-    return has_permit(*instance.executor, context) && is_on_rack && is_spread &&
-           fits(instance, step, context);
+    return has_permit(*instance.executor, context) && is_on_rack(*instance.executor, context) &&
+           is_spread && fits(instance, step, context);
 }
 
 std::optional<std::size_t> choose_instance(std::vector<instance_state>& instances,
--- a/libs/dispatch/src/placement.hpp
+++ b/libs/dispatch/src/placement.hpp
@@ -79,6 +79,9 @@
     // executor.
     instant last_start_at{};
     instant last_suspect_at{};
+    // Steps want the instance's rack: tasks that do not are placed elsewhere where that costs
+    // nothing.
+    bool is_on_wanted_rack = false;
     // The only task that may start here; see crash_rules.
     std::optional<task_key> isolated_task;
 
@@ -100,6 +103,9 @@
     // Estimated remaining work of the job.
     double core_seconds_left = 0;
     instant objective;
+    // Estimated run time of the job's longest chain of steps, and of its unfinished part.
+    milliseconds chain{0};
+    milliseconds chain_left{0};
     // The job has had no assigned task for so long that one task may start wherever capacity
     // suffices.
     bool is_starved = false;
@@ -108,6 +114,9 @@
     std::vector<std::uint32_t> waiting;
 };
 
+// Late jobs yield a reduced benefit up to this multiple of their objective.
+inline constexpr int late_objective_factor = 3;
+
 // Ranks a job by the benefit it can still yield: 0 full (within its objective), 1 reduced (late), 2
 // none. `accepted` is the start of the objective, `chain` the estimated run time of the longest
 // chain of steps, `left` its remaining part.
@@ -149,6 +158,8 @@
                                                          const placement_context& context);
 // True if the policy service allows the executor, or need not be asked.
 [[nodiscard]] bool has_permit(const executor_info& executor, const placement_context& context);
+// True if the executor is on the rack of the context, or that names none.
+[[nodiscard]] bool is_on_rack(const executor_info& executor, const placement_context& context);
 [[nodiscard]] bool has_label(const executor_info& executor, const std::string& label);
 // True if one more task of the step may start on the instance now and has capacity there.
 [[nodiscard]] bool can_start(instance_state& instance, const ready_step& step,
--- a/libs/dispatch/src/planning.cpp
+++ b/libs/dispatch/src/planning.cpp
@@ -175,8 +175,10 @@
                 step.key = {id, k, s};
                 step.spec = &spec.steps[s];
                 step.rules = rules->second;
-                step.rank = lateness_rank(step.rules, occurrence.due_at, chain,
-                                          longest_chain(spec, occurrence, true), now);
+                step.chain = chain;
+                step.chain_left = longest_chain(spec, occurrence, true);
+                step.rank =
+                    lateness_rank(step.rules, occurrence.due_at, chain, step.chain_left, now);
                 step.is_starved = job.idle_since && now - *job.idle_since >= starvation_timeout;
                 step.core_seconds_left = core_seconds_left(spec, occurrence);
                 step.objective = occurrence.due_at + chain + step.rules.target;
@@ -193,6 +195,7 @@
         instance.is_reserved = false;
     }
     unplaceable_fillers.clear();
+    begin_rack_pass();
     for (const auto& step : collect_ready_steps()) {
         if (is_known_unplaceable(step)) {
             continue;
@@ -257,7 +260,10 @@
     context.interference = &interference;
     context.fillers = config.fillers;
     context.crashes = config.crashes;
+    rack_id rack = rack_to_wait_for(step);
+    std::size_t remaining = step.waiting.size();
     for (const auto index : step.waiting) {
+        context.rack = {};
         const auto& task = jobs.at(step.key.job)
                                .occurrences[step.key.occurrence]
                                .steps[step.key.step]
@@ -269,16 +275,22 @@
             if (const auto instance = choose_isolated_instance(step, key, context)) {
                 place_task(step, index, *instance);
             }
+            --remaining;
             continue;
         }
+        context.rack = rack;
         const bool is_waiting_too_long = step.spec->is_long_running && task.run > run_number(0) &&
                                          context.now - task.phase_since >= starvation_timeout;
         context.checks_capacity_only =
             is_waiting_too_long || (step.is_starved && index == step.waiting.front());
-        const auto instance = choose_instance(instances, step, context);
+        auto instance = choose_instance(instances, step, context);
+        if (!instance && !rack.empty() && gives_up_rack(step, context, remaining)) {
+            rack = context.rack = {};
+            instance = choose_instance(instances, step, context);
+        }
         if (!instance) {
             if (step.spec->is_filler && !context.checks_capacity_only &&
-                context.permits == nullptr) {
+                context.permits == nullptr && rack.empty()) {
                 unplaceable_fillers.try_emplace({step.spec->image, step.reserves_slack},
                                                 step.spec->demand.processors.value());
             }
@@ -289,6 +301,7 @@
                 for (std::size_t i = 0; i < instances.size(); ++i) {
                     if (accepts_starts(instances[i], context) &&
                         is_eligible(*instances[i].executor, step) &&
+                        is_on_rack(*instances[i].executor, context) &&
                         has_permit(*instances[i].executor, context) &&
                         !instances[i].health.is_quarantined(context.now) &&
                         (!largest ||
@@ -303,6 +316,7 @@
             return false;
         }
         place_task(step, index, *instance);
+        --remaining;
     }
     return true;
 }
@@ -366,6 +380,7 @@
     task.phase = task_phase::placed;
     task.run = task.run.next();
     task.phase_since = time.now();
+    task.sent_at.reset();
     assign(key, task, instance);
     auto& target = instances[instance];
     task.incarnation = target.executor->incarnation;
@@ -373,6 +388,7 @@
     if (task.crashes.suspected > 0) {
         target.last_suspect_at = time.now();
     }
+    record_rack_start(step, key, instance);
     check_invariant(target.committed.fits_in(target.executor->capacity),
                     "placement overcommits " + target.name.value() + ": " +
                         to_string(target.committed) + " of " +
--- a/libs/dispatch/src/progress.cpp
+++ b/libs/dispatch/src/progress.cpp
@@ -189,7 +189,9 @@
     }
     state_->clear_row(*job, number);
     job->restored_rows.insert(number);
-    const bool is_consistent = state_->restore_entries(*job, *record, number, expires_at);
+    const bool has_known_steps = state_->restore_waits(*job, *record);
+    const bool is_consistent =
+        state_->restore_entries(*job, *record, number, expires_at) && has_known_steps;
     if (shows_begun_run(*record)) {
         state_->mark_started(*job);
     }
@@ -336,6 +338,7 @@
         task->phase = task_phase::starting;
         task->phase_since = time.now();
         task->started_at = task->phase_since;
+        task->sent_at = task->phase_since;
         instance.last_start_at = task->phase_since;
         // It may have changed since the placement and still suffice.
         start.order.capacity = instance.executor->capacity;
--- a/libs/dispatch/src/records.cpp
+++ b/libs/dispatch/src/records.cpp
@@ -215,11 +215,12 @@
 
 // The longest entries of a task that has run, with the commas after them:
 // [63999,63,999,run,failures,"instance","checkpoint",crashes,crashes,leases] and
-// "instance":incarnation.
+// "instance":incarnation. A step of its own adds [63999,63,4000000000000] once.
 constexpr std::size_t max_number_bytes = 10;
 constexpr std::size_t max_task_bytes =
     sizeof("[63999,63,999,,,\"\",\"\",,,],") + 5 * max_number_bytes + max_instance_name_bytes +
-    max_checkpoint_bytes + max_instance_name_bytes + sizeof("\"\":-9223372036854775808,");
+    max_checkpoint_bytes + max_instance_name_bytes + sizeof("\"\":-9223372036854775808,") +
+    sizeof("[63999,63,4000000000000],");
 constexpr std::size_t max_progress_row_bytes = 100 + max_tasks_per_row * max_task_bytes;
 static_assert((max_progress_row_bytes + 2) / 3 * 4 <= max_row_bytes);
 // A gang begins a new row unless it fits in what is left of one.
@@ -245,6 +246,34 @@
     return history;
 }
 
+// Adds the times of the step that later owners need, in each row that holds tasks of it.
+void encode_step_times(json& out, const job_state& job, std::uint32_t occurrence,
+                       std::uint32_t step) {
+    const auto& state = job.occurrences[occurrence].steps[step];
+    const auto add = [&](const char* key, utc_millis at) {
+        auto& list = out[key];
+        if (list.empty() || list.back()[0] != occurrence || list.back()[1] != step) {
+            list.push_back({occurrence, step, at.value()});
+        }
+    };
+    if (state.ended_at) {
+        add("s", *state.ended_at);
+    }
+    if (state.wait.until && !state.is_done()) {
+        add("w", state.wait.until_utc);
+    }
+}
+
+std::vector<progress_record::step_time> decode_step_times(const json& in, const char* key) {
+    std::vector<progress_record::step_time> times;
+    for (const auto& entry : json_input::list_or_empty(in, key)) {
+        times.push_back({count(entry.at(0)), count(entry.at(1)),
+                         utc_millis(json_input::whole_number<std::int64_t>(
+                             entry.at(2), 0, json_input::max_time_ms))});
+    }
+    return times;
+}
+
 }  // namespace
 
 bool fits_in_row(const std::string& checkpoint) {
@@ -288,8 +317,10 @@
 
 // {"p": phase, "t": [[occurrence, step, index, run, failures, instance, checkpoint, crashes,
 //  confirmed crashes, expired leases], ...], "e": {instance: incarnation of its executor, ...},
-//  "d": [[occurrence, step, [index, ...]], ...]}: tasks that have run, and tasks that succeeded.
-//  The crashes are left out if there were none. Only the phase of a first row counts.
+//  "d": [[occurrence, step, [index, ...]], ...], "s": [[occurrence, step, end of the step], ...],
+//  "w": [[occurrence, step, end of its wait for a rack], ...]}: tasks that have run, and tasks that
+//  succeeded; times are UTC in milliseconds. The crashes are left out if there were none, "s" and
+//  "w" if they are empty. Only the phase of a first row counts.
 std::string encode_progress(const job_state& job, std::uint32_t row,
                             const std::vector<instance_state>& instances) {
     json out{{"p", static_cast<int>(job.phase)}};
@@ -301,6 +332,7 @@
     json done = json::array();
     for_each_task_of_row(job, row, [&](std::uint32_t k, std::uint32_t s, std::uint32_t i) {
         const auto& task = job.occurrences[k].steps[s].tasks[i];
+        encode_step_times(out, job, k, s);
         if (task.phase == task_phase::succeeded) {
             if (done.empty() || done.back()[0] != k || done.back()[1] != s) {
                 done.push_back({k, s, json::array()});
@@ -371,6 +403,8 @@
                 record.succeeded.push_back({count(entry.at(0)), count(entry.at(1)), count(index)});
             }
         }
+        record.step_ends = decode_step_times(in, "s");
+        record.wait_ends = decode_step_times(in, "w");
     } catch (const error&) {
         return std::nullopt;
     } catch (const json::exception&) {
--- a/libs/dispatch/src/task_lifecycle.cpp
+++ b/libs/dispatch/src/task_lifecycle.cpp
@@ -345,6 +345,7 @@
 void coordinator::state::mark_succeeded(const task_key& key, task_state& task, std::size_t index) {
     instances[index].health.succeeded();
     const bool is_gang = spec_of(key).is_gang;
+    record_rack_run(key, task);
     unassign(key, task);
     task.phase = task_phase::succeeded;
     task.checkpoint.clear();
@@ -353,6 +354,7 @@
     if (is_gang) {
         mark_gang_succeeded(key);
     }
+    record_step_end(key);
     mark_dirty(key);
     complete_job_if_done(job);
 }
--- /dev/null
+++ b/libs/dispatch/tests/delay_scheduling_test.cpp
@@ -0,0 +1,266 @@
+// Waits of steps for their preferred rack: the decision, and its effect on jobs in a simulated
+// fleet, compared with never and with always waiting.
+
+#include "delay_scheduling.hpp"
+
+#include <doctest/doctest.h>
+
+#include "locality_fleet.hpp"
+
+using namespace tanagerpaddle;
+using namespace tanagerpaddle::dispatch;
+using namespace tanagerpaddle::dispatch::testing;
+
+namespace {
+
+const instant start = instant(std::chrono::hours(1));
+
+wait_terms terms_of(milliseconds run_time, milliseconds slack_on_rack) {
+    wait_terms terms;
+    terms.ready_at = start;
+    terms.run_time = run_time;
+    terms.off_rack_factor = 3;
+    terms.chain_left = run_time;
+    terms.objective = start + run_time + slack_on_rack;
+    terms.late_objective = terms.objective + std::chrono::seconds(100);
+    return terms;
+}
+
+place_demand cores(std::int64_t count) {
+    return {
+        {millicores(count * 1'000), mebibytes(100), accelerator_count(0)}, count * 1'000, false};
+}
+
+const rack_forecast::places_on any_number = [](std::size_t) { return 100U; };
+
+enum class policy { break_even, never, always };
+
+struct load {
+    // Share of the urgent jobs that want the first rack.
+    double share_on_rack = 0.6;
+    double jobs_per_s = 12;
+    milliseconds length{15'000};
+    // Called before each job is submitted, with the time since the start.
+    std::function<void(locality_fleet&, milliseconds)> disturb = [](locality_fleet&, milliseconds) {
+    };
+};
+
+// Urgent jobs of 1.6 steps of 10 tasks; 1 s on 0.54 cores for each task on the rack.
+struct outcome {
+    double on_time = 0;
+    double mean_ms = 0;
+    std::size_t ended = 0;
+    std::size_t submitted = 0;
+    std::size_t on_rack = 0;
+    std::size_t elsewhere = 0;
+    std::vector<std::string> violations;
+};
+
+outcome play(locality_options options, const load& demand, policy chosen,
+             const std::function<void(locality_fleet&)>& prepare = {}) {
+    options.rules.off_rack_factor = chosen == policy::break_even ? options.off_rack_factor : 1;
+    locality_fleet fleet(options);
+    fleet.run_for(milliseconds(1'500));
+    if (prepare) {
+        prepare(fleet);
+    }
+    random_source random(3);
+    outcome result;
+    const milliseconds interval(static_cast<std::int64_t>(1'000 / demand.jobs_per_s));
+    double on_time = 0;
+    std::map<job_id, milliseconds> objectives;
+    for (milliseconds passed{0}; passed < demand.length; passed += interval) {
+        demand.disturb(fleet, passed);
+        locality_job shape;
+        shape.steps = random.chance(0.6) ? 2 : 1;
+        shape.rack = random.chance(demand.share_on_rack) ? "rack-0" : "";
+        auto job = make_locality_job("job-" + std::to_string(passed.count()), shape);
+        if (chosen == policy::always && !shape.rack.empty()) {
+            for (auto& step : job.spec.steps) {
+                step.required_label = shape.rack;
+            }
+        }
+        objectives[job.id] = milliseconds(1'500 * shape.steps + 250);
+        fleet.submit(job);
+        fleet.run_for(interval);
+    }
+    fleet.run_for(milliseconds(30'000));
+    double sum = 0;
+    for (const auto& [id, objective] : objectives) {
+        const auto found = fleet.job_times.find(id);
+        // A job that has not ended counts as long as the play lasts.
+        const auto time = found == fleet.job_times.end() ? milliseconds(45'000) : found->second;
+        on_time += time <= objective ? 1 : 0;
+        sum += static_cast<double>(time.count());
+        result.ended += found != fleet.job_times.end() ? 1 : 0;
+    }
+    result.submitted = objectives.size();
+    result.on_time = on_time / static_cast<double>(objectives.size());
+    result.mean_ms = sum / static_cast<double>(objectives.size());
+    result.on_rack = fleet.starts_on_rack;
+    result.elsewhere = fleet.starts_elsewhere;
+    result.violations = fleet.violations;
+    return result;
+}
+
+std::string to_string(const outcome& result) {
+    return std::to_string(result.on_time) + " of " + std::to_string(result.submitted) +
+           " on time, mean " + std::to_string(static_cast<int>(result.mean_ms)) + " ms, ended " +
+           std::to_string(result.ended) + ", starts on the rack " + std::to_string(result.on_rack) +
+           ", elsewhere " + std::to_string(result.elsewhere);
+}
+
+struct comparison {
+    outcome kept;
+    outcome never;
+    outcome always;
+};
+
+comparison compare(const std::string& what, const locality_options& options, const load& demand,
+                   const std::function<void(locality_fleet&)>& prepare = {}) {
+    comparison result{play(options, demand, policy::break_even, prepare),
+                      play(options, demand, policy::never, prepare),
+                      play(options, demand, policy::always, prepare)};
+    MESSAGE(what << "\n  break-even: " << to_string(result.kept) << "\n  never:      "
+                 << to_string(result.never) << "\n  always:     " << to_string(result.always));
+    for (const auto* played : {&result.kept, &result.never, &result.always}) {
+        CHECK_MESSAGE(played->violations.empty(), played->violations.front());
+    }
+    return result;
+}
+
+// Occupies `executors` executors of the first rack, and as many tasks as `tasks`, for `length`.
+submitted_job blocker(const std::string& id, std::uint32_t tasks, milliseconds length) {
+    locality_job shape;
+    shape.tasks = tasks;
+    shape.millicores_each = 31'700;
+    shape.mebibytes_each = 1'000;
+    shape.estimate = length;
+    auto job = make_locality_job(id, shape);
+    job.spec.steps[0].required_label = "rack-0";
+    job.spec.steps[0].max_per_executor = 1;
+    return job;
+}
+
+}  // namespace
+
+TEST_CASE("a wait is bounded by its gain and by the slack of the job") {
+    using namespace std::chrono_literals;
+    CHECK(gain_on_rack(terms_of(1s, 1s)) == 2s);
+    // Ends in time elsewhere for another second: the wait must not cost that.
+    CHECK(latest_start_on_rack(terms_of(1s, 3s)) == start + 1s);
+    CHECK(latest_start_on_rack(terms_of(1s, 60s)) == start + 2s);
+    // Only the rack is in time, for as long as there is slack.
+    CHECK(latest_start_on_rack(terms_of(1s, 750ms)) == start + 750ms);
+    // Late anyway: the shortest end counts.
+    CHECK(latest_start_on_rack(terms_of(1s, -10ms)) == start + 2s);
+    auto hopeless = terms_of(1s, -10ms);
+    hopeless.late_objective = start;
+    CHECK(latest_start_on_rack(hopeless) == start);
+    auto equal = terms_of(1s, 1s);
+    equal.off_rack_factor = 1;
+    CHECK(latest_start_on_rack(equal) == start);
+}
+
+// An estimate that is wrong by a factor of ten must not decide once progress is known.
+TEST_CASE("the end of a run is predicted by its progress, and by its age without progress") {
+    using namespace std::chrono_literals;
+    const auto tolerance = 200ms;
+    run_progress run{1s, start, 0, start};
+    CHECK(predicted_end(run, start + 100ms) < start + 1s + tolerance);
+    // Half done after 5 s.
+    run.percent = 50;
+    run.progressed_at = start + 5s;
+    const auto slow = predicted_end(run, start + 5s);
+    CHECK(slow >= start + 10s);
+    CHECK(slow < start + 10s + tolerance);
+    // Three times as old as its estimate, and no progress.
+    const auto overdue = predicted_end({1s, start, 0, start}, start + 3s);
+    CHECK(overdue >= start + 6s);
+    // Started by an earlier owner: only what is left by the estimate is known.
+    const auto restored = predicted_end({1s, std::nullopt, 50, start + 5s}, start + 5s);
+    CHECK(restored < start + 5s + 500ms + tolerance);
+}
+
+TEST_CASE("a forecast takes the places of a rack in the order in which they become free") {
+    using namespace std::chrono_literals;
+    rack_forecast forecast(start);
+    const auto none = resources{millicores(0), mebibytes(100'000), accelerator_count(0)};
+    forecast.add_instance(0, none, 0, {{start + 1s, cores(4)}, {start + 3s, cores(4)}});
+    forecast.add_instance(1, none, 0, {{start + 2s, cores(4)}});
+    const auto far = start + 60s;
+    // More than fits by the limit reserves nothing.
+    CHECK_FALSE(forecast.reserve(cores(4), 2, 10s, start + 1s, any_number));
+    CHECK(forecast.reserve(cores(4), 2, 10s, far, any_number) == start + 2s);
+    // Steps behind get what is left, then the places of those ahead.
+    CHECK(forecast.reserve(cores(4), 1, 10s, far, any_number) == start + 3s);
+    CHECK(forecast.reserve(cores(4), 1, 10s, far, any_number) == start + 11s);
+    CHECK_FALSE(forecast.reserve(cores(4), 1, 10s, far, [](std::size_t) { return 0U; }));
+    // Only one task may start on each.
+    CHECK_FALSE(forecast.reserve(cores(1), 3, 10s, far, [](std::size_t) { return 1U; }));
+}
+
+TEST_CASE("a filler needs processors that are idle") {
+    using namespace std::chrono_literals;
+    rack_forecast forecast(start);
+    const resources free{millicores(32'000), mebibytes(100'000), accelerator_count(0)};
+    forecast.add_instance(0, free, 1'000, {{start + 1s, cores(4)}});
+    place_demand filler = cores(4);
+    filler.is_filler = true;
+    filler.reserved.processors = millicores(0);
+    CHECK(forecast.reserve(filler, 1, 1s, start + 9s, any_number) == start + 1s);
+}
+
+TEST_CASE("the factor is corrected once enough runs of an image were measured") {
+    off_rack_factors factors;
+    for (int i = 0; i < 5; ++i) {
+        CHECK(factors.factor("image", 3) == 3);
+        factors.record("image", true, 2);
+        factors.record("image", false, 3);
+    }
+    CHECK(factors.factor("image", 3) == doctest::Approx(1.5));
+    CHECK(factors.factor("other", 3) == 3);
+    for (int i = 0; i < 5; ++i) {
+        factors.record("same", true, 1);
+        factors.record("same", false, 0.5);
+    }
+    CHECK(factors.factor("same", 3) == 1);
+}
+
+TEST_CASE("a run moves back only if it saves clearly more than the move costs") {
+    using namespace std::chrono_literals;
+    CHECK(is_worth_moving_back(12s, 0s, 3));
+    CHECK_FALSE(is_worth_moving_back(2s, 0s, 3));
+    CHECK_FALSE(is_worth_moving_back(12s, 12s, 3));
+    CHECK_FALSE(is_worth_moving_back(60s, 0s, 1.2));
+}
+
+// Load of Pardalote: 60% of the urgent jobs want one rack of 8 of 52 executors, which has the
+// capacity for them but is full for some seconds at a time.
+TEST_CASE("a hot rack: with waits more jobs end in time than with never or always waiting") {
+    locality_options options;
+    options.instances = 52;
+    load demand;
+    // Every 3 s the rack is full for 0.5 s.
+    demand.disturb = [](locality_fleet& fleet, milliseconds passed) {
+        if (passed.count() / 83 % 36 == 0) {
+            fleet.submit(
+                blocker("blocker-" + std::to_string(passed.count()), 8, milliseconds(500)));
+        }
+    };
+    const auto found = compare("hot rack, full for 0.5 s in each 3 s", options, demand);
+    CHECK(found.kept.on_time >= found.never.on_time);
+    CHECK(found.kept.on_time >= found.always.on_time);
+}
+
+TEST_CASE("a rack that is full for long: jobs go elsewhere at once") {
+    locality_options options;
+    options.instances = 52;
+    const auto found = compare("rack full for 10 s", options, {}, [](locality_fleet& fleet) {
+        fleet.submit(blocker("blocker", 8, milliseconds(10'000)));
+        fleet.run_for(milliseconds(500));
+    });
+    CHECK(found.kept.on_time >= found.never.on_time);
+    CHECK(found.kept.mean_ms < found.always.mean_ms);
+    CHECK(found.kept.mean_ms <= found.never.mean_ms * 1.05);
+}
--- a/libs/dispatch_node/src/owner_session.cpp
+++ b/libs/dispatch_node/src/owner_session.cpp
@@ -52,9 +52,10 @@
     return parts;
 }
 
-coordinator::options coordinator_options(const lease_timing& timing) {
+coordinator::options coordinator_options(const owner_session::environment& env) {
     coordinator::options options;
-    options.timing = timing;
+    options.timing = env.timing;
+    options.delays = env.delays;
     return options;
 }
 
@@ -68,7 +69,7 @@
     : env_(env),
       epoch_(epoch),
       unclaimed_runs_end_by_(unclaimed_runs_end_by),
-      coordinator_(coordinator_options(env.timing), *env.time, *this),
+      coordinator_(coordinator_options(env), *env.time, *this),
       early_cancellations_(*env.time, env.early_cancellation_lifetime) {}
 
 // ---------------------------------------------------------------------------------------------
@@ -378,6 +379,23 @@
               {{"task", to_string(task)}, {"bytes", bytes}});
 }
 
+void owner_session::report_locality_wait(const locality_wait& wait) {
+    log_event(log_level::info, "locality_wait",
+              {{"step", wait.step.job.value() + "." + std::to_string(wait.step.occurrence) + "." +
+                            std::to_string(wait.step.step)},
+               {"rack", wait.rack.value()},
+               {"until", env_.time->utc_now().value() + wait.until_in.count()},
+               {"gain_ms", wait.gain},
+               // -1: not before the end of the wait, or not known yet.
+               {"predicted_ms", wait.predicted ? wait.predicted->count() : -1}});
+}
+
+void owner_session::report_locality_start(milliseconds waited, bool is_on_rack) {
+    metrics()
+        .latency_of(metric::locality_wait_seconds, {is_on_rack ? "on_rack" : "elsewhere"})
+        .record(waited);
+}
+
 // ---------------------------------------------------------------------------------------------
 // Time and writes
 
--- a/libs/dispatch_node/src/owner_session.hpp
+++ b/libs/dispatch_node/src/owner_session.hpp
@@ -37,6 +37,7 @@
         ownership* owner = nullptr;
         lease_timing timing;
         milliseconds early_cancellation_lifetime{0};
+        delay_rules delays{};
     };
 
     // Runs on instances whose agents cannot be claimed have ended by `unclaimed_runs_end_by`.
@@ -64,6 +65,8 @@
     void report_stall(const instance_name& instance, const task_key& task, run_number run,
                       milliseconds without_progress) override;
     void report_unstored_checkpoint(const task_key& task, std::size_t bytes) override;
+    void report_locality_wait(const locality_wait& wait) override;
+    void report_locality_start(milliseconds waited, bool is_on_rack) override;
 
 private:
     using json = messages::json;
--- a/libs/telemetry/include/tanagerpaddle/telemetry.hpp
+++ b/libs/telemetry/include/tanagerpaddle/telemetry.hpp
@@ -160,6 +160,7 @@
     tasks_pending,
     tasks_running,
     task_start_delay,
+    locality_wait_seconds,
     permits_void,
     leases_expired,
     workers,
--- a/libs/telemetry/src/metric_table.cpp
+++ b/libs/telemetry/src/metric_table.cpp
@@ -69,6 +69,10 @@
                       "Tasks that run."},
     metric_descriptor{task_start_delay, "tanagerpaddle_task_start_delay_seconds", latency, "s",
                       "priority", "Time from a task becoming pending to its start."},
+    metric_descriptor{
+        locality_wait_seconds, "tanagerpaddle_locality_wait_seconds", latency, "s", "outcome",
+        "Time from a step that prefers a rack being ready to the placement of a task, "
+        "on the rack or elsewhere."},
     metric_descriptor{permits_void, "tanagerpaddle_permits_void_total", counts, "permits", "",
                       "Start permits that expired before the start."},
     metric_descriptor{leases_expired, "tanagerpaddle_leases_expired_total", counts, "leases", "",
