--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -480,6 +480,8 @@
     virtual void report_unstored_checkpoint(const task_key& /*task*/, std::size_t /*bytes*/) {}
     // For the log only: a wait was decided, or ended before its deadline.
     virtual void report_locality_wait(const locality_wait& /*wait*/) {}
+    // For the log only: a run elsewhere is about to be stopped, to be resumed on its rack.
+    virtual void report_locality_move(const task_key& /*task*/, const rack_id& /*rack*/) {}
     // For metrics only: a task of a step with such a wait is placed, this long after the step was
     // ready.
     virtual void report_locality_start(milliseconds /*waited*/, bool /*is_on_rack*/) {}
--- a/libs/dispatch/src/coordinator_state.hpp
+++ b/libs/dispatch/src/coordinator_state.hpp
@@ -67,6 +67,8 @@
     std::optional<instant> until;
     // The same for progress rows.
     utc_millis until_utc;
+    // This owner has reported the wait.
+    bool is_reported = false;
 };
 
 struct step_state {
@@ -178,6 +180,8 @@
     std::map<rack_id, rack_forecast> forecasts;
     // When a step last wanted the rack.
     std::map<rack_id, instant> wanted_at;
+    // By instance; computed when a step needs it, and dropped at the next review.
+    std::vector<rack_id> rack_of_instance;
     off_rack_factors factors;
     // Tasks with checkpoints that were placed off their rack.
     std::set<task_key> off_rack_tasks;
@@ -332,6 +336,19 @@
     // do not wait for one any more.
     [[nodiscard]] bool gives_up_rack(const ready_step& step, const placement_context& context,
                                      std::size_t remaining);
+    // All agents that can be reached have been claimed.
+    [[nodiscard]] bool is_settled() const;
+    void end_wait(rack_wait& wait, instant until) const;
+    [[nodiscard]] rack_id rack_of(std::size_t instance);
+    [[nodiscard]] rack_id choose_single_rack(const ready_step& step, instant latest);
+    [[nodiscard]] placement_context placement_context_for(const ready_step& step);
+    [[nodiscard]] bool should_move_back(const task_key& key, const task_state& task);
+    void move_back_to_racks();
+    // The best instance for the waiting task `index`: on `context.rack` while its step waits for
+    // it, otherwise any, and `context.rack` is cleared.
+    std::optional<std::size_t> choose_instance_near_rack(const ready_step& step,
+                                                         std::uint32_t index,
+                                                         placement_context& context);
     rack_forecast& forecast_of(const rack_id& rack, const placement_context& context);
     [[nodiscard]] std::uint32_t places_on(std::size_t instance, const ready_step& step,
                                           const placement_context& context) const;
@@ -352,6 +369,9 @@
     void record_view(instance_state& instance);
     bool place_step(const ready_step& step);
     bool place_gang(const ready_step& step);
+    // Instances on which the gang can start together; fewer than it has members if it can't.
+    [[nodiscard]] std::vector<std::size_t> choose_gang_instances(const ready_step& step,
+                                                                 const placement_context& context);
     void place_task(const ready_step& step, std::uint32_t index, std::size_t instance);
     [[nodiscard]] bool is_known_unplaceable(const ready_step& step) const;
     // Asks the policy service for more executors if a request is due.
--- a/libs/dispatch/src/delay_scheduling.cpp
+++ b/libs/dispatch/src/delay_scheduling.cpp
@@ -41,8 +41,9 @@
     for (const instant end : {terms.objective, terms.late_objective}) {
         const auto slack_on_rack = time_between(terms.ready_at + terms.chain_left, end);
         const auto slack_elsewhere = slack_on_rack - gain;
+        const bool is_late = end != terms.objective;
         if (slack_elsewhere >= milliseconds(0)) {
-            return terms.ready_at + std::min(gain, slack_elsewhere);
+            return terms.ready_at + (is_late ? milliseconds(0) : std::min(gain, slack_elsewhere));
         }
         if (slack_on_rack >= milliseconds(0)) {
             return terms.ready_at + std::min(gain, slack_on_rack);
@@ -66,13 +67,14 @@
 }
 
 void rack_forecast::add_instance(std::size_t index, const resources& free,
-                                 std::int64_t idle_millicores, std::vector<release> releases) {
+                                 std::int64_t idle_millicores,
+                                 const std::vector<release>& releases) {
     auto& added = instances_.emplace_back();
     added.index = index;
     added.at = now_;
     added.free = free;
     added.idle = idle_millicores;
-    for (auto& entry : releases) {
+    for (const auto& entry : releases) {
         added.releases.emplace(entry.at, entry.demand);
     }
 }
@@ -115,6 +117,7 @@
                                               const places_on& places) {
     auto trial = instances_;
     std::vector<std::uint32_t> left;
+    left.reserve(trial.size());
     for (const auto& target : trial) {
         left.push_back(places(target.index));
     }
--- a/libs/dispatch/src/delay_scheduling.hpp
+++ b/libs/dispatch/src/delay_scheduling.hpp
@@ -32,7 +32,8 @@
 [[nodiscard]] milliseconds gain_on_rack(const wait_terms& terms);
 // Latest start on the rack that is worth waiting for; not before `ready_at`. A wait never exceeds
 // the gain. It ends while the job can still meet its objective elsewhere; a job that can meet it on
-// the rack only waits for as long as it can meet it there.
+// the rack only waits for as long as it can meet it there. A job that is late either way leaves the
+// rack to others, unless its reduced benefit depends on it.
 [[nodiscard]] instant latest_start_on_rack(const wait_terms& terms);
 
 // Run time of the whole task as its progress shows it; the estimate until there is enough progress.
@@ -66,7 +67,7 @@
     };
     // `free` and `idle_millicores` are those of now.
     void add_instance(std::size_t index, const resources& free, std::int64_t idle_millicores,
-                      std::vector<release> releases);
+                      const std::vector<release>& releases);
     // The most tasks of a step that may start on an instance; 0 if none may.
     using places_on = std::function<std::uint32_t(std::size_t instance)>;
     // Reserves places for `count` tasks. Returns the start of the last; std::nullopt, with nothing
--- a/libs/dispatch/src/planning.cpp
+++ b/libs/dispatch/src/planning.cpp
@@ -74,17 +74,6 @@
                        [&](std::uint32_t earlier) { return occurrence.steps[earlier].is_done(); });
 }
 
-// The checkpoint from which a gang resumes: all members need the same one, and that of any member
-// is valid for all.
-std::string newest_checkpoint(const std::vector<task_state>& members) {
-    const auto newest =
-        std::max_element(members.begin(), members.end(), [](const auto& left, const auto& right) {
-            return std::pair(!left.checkpoint.empty(), left.checkpointed_at) <
-                   std::pair(!right.checkpoint.empty(), right.checkpointed_at);
-        });
-    return newest->checkpoint;
-}
-
 }  // namespace
 
 void coordinator::plan() {
@@ -99,6 +88,7 @@
     state_->place_ready_steps();
     if (is_inspection_due) {
         state_->move_throttled_fillers();
+        state_->move_back_to_racks();
     }
     state_->flush_acknowledgements();
 }
@@ -251,17 +241,8 @@
 }
 
 bool coordinator::state::place_step(const ready_step& step) {
-    placement_context context;
-    context.now = time.now();
-    context.evacuated = &evacuated_domains;
-    if (step.rules.requires_permit) {
-        context.permits = &permits_by_step[step.key].tickets();
-    }
-    context.interference = &interference;
-    context.fillers = config.fillers;
-    context.crashes = config.crashes;
+    auto context = placement_context_for(step);
     rack_id rack = rack_to_wait_for(step);
-    std::size_t remaining = step.waiting.size();
     for (const auto index : step.waiting) {
         context.rack = {};
         const auto& task = jobs.at(step.key.job)
@@ -275,7 +256,6 @@
             if (const auto instance = choose_isolated_instance(step, key, context)) {
                 place_task(step, index, *instance);
             }
-            --remaining;
             continue;
         }
         context.rack = rack;
@@ -283,11 +263,8 @@
                                          context.now - task.phase_since >= starvation_timeout;
         context.checks_capacity_only =
             is_waiting_too_long || (step.is_starved && index == step.waiting.front());
-        auto instance = choose_instance(instances, step, context);
-        if (!instance && !rack.empty() && gives_up_rack(step, context, remaining)) {
-            rack = context.rack = {};
-            instance = choose_instance(instances, step, context);
-        }
+        const auto instance = choose_instance_near_rack(step, index, context);
+        rack = context.rack;
         if (!instance) {
             if (step.spec->is_filler && !context.checks_capacity_only &&
                 context.permits == nullptr && rack.empty()) {
@@ -316,58 +293,6 @@
             return false;
         }
         place_task(step, index, *instance);
-        --remaining;
-    }
-    return true;
-}
-
-// Places all members or none: the trial assignments are undone, then made for good if all members
-// fit.
-bool coordinator::state::place_gang(const ready_step& step) {
-    auto& tasks = jobs.at(step.key.job).occurrences[step.key.occurrence].steps[step.key.step].tasks;
-    if (step.waiting.size() != tasks.size()) {
-        return false;
-    }
-    run_number run;
-    for (const auto& task : tasks) {
-        run = std::max(run, task.run);
-    }
-    placement_context context;
-    context.now = time.now();
-    context.evacuated = &evacuated_domains;
-    context.interference = &interference;
-    context.fillers = config.fillers;
-    context.crashes = config.crashes;
-    if (step.rules.requires_permit) {
-        context.permits = &permits_by_step[step.key].tickets();
-    }
-    std::vector<std::size_t> chosen;
-    for (const auto index : step.waiting) {
-        const auto instance = choose_instance(instances, step, context);
-        if (!instance) {
-            break;
-        }
-        chosen.push_back(*instance);
-        const task_key key{step.key.job, step.key.occurrence, step.key.step, index};
-        tasks[index].phase = task_phase::placed;
-        assign(key, tasks[index], *instance);
-    }
-    for (std::size_t i = 0; i < chosen.size(); ++i) {
-        const auto index = step.waiting[i];
-        const task_key key{step.key.job, step.key.occurrence, step.key.step, index};
-        unassign(key, tasks[index]);
-        tasks[index].phase = task_phase::waiting;
-    }
-    if (chosen.size() != tasks.size()) {
-        return false;
-    }
-    const std::string checkpoint = newest_checkpoint(tasks);
-    for (auto& task : tasks) {
-        task.run = run;
-        task.checkpoint = checkpoint;
-    }
-    for (std::size_t i = 0; i < chosen.size(); ++i) {
-        place_task(step, step.waiting[i], chosen[i]);
     }
     return true;
 }
--- a/libs/dispatch/src/rack_waits.cpp
+++ b/libs/dispatch/src/rack_waits.cpp
@@ -1,6 +1,7 @@
 // Waits of steps for a place on a rack: feeds the decisions of delay_scheduling.hpp.
 
 #include <algorithm>
+#include <tuple>
 
 #include "coordinator_state.hpp"
 
@@ -30,6 +31,10 @@
     return demand;
 }
 
+milliseconds scaled(milliseconds time, double factor) {
+    return milliseconds(static_cast<std::int64_t>(static_cast<double>(time.count()) * factor));
+}
+
 milliseconds time_between(instant from, instant to) {
     return std::chrono::duration_cast<milliseconds>(to - from);
 }
@@ -43,7 +48,7 @@
 bool coordinator::state::may_wait_for_rack(const step_spec& spec) const {
     // A long-running task has no run time that a wait could be weighed against.
     return config.delays.off_rack_factor > 1 && !spec.is_long_running &&
-           !spec.preferred_rack.empty();
+           (!spec.preferred_rack.empty() || (spec.is_single_rack && spec.task_count > 1));
 }
 
 milliseconds coordinator::state::run_time_of(const step_spec& spec) const {
@@ -97,6 +102,7 @@
     }
     rack_waits.reviewed_at = now;
     rack_waits.forecasts.clear();
+    rack_waits.rack_of_instance.clear();
     std::erase_if(rack_waits.wanted_at,
                   [&](const auto& wanted) { return now - wanted.second > wanted_time; });
     for (auto& instance : instances) {
@@ -115,11 +121,115 @@
     }
     const instant now = time.now();
     auto& wait = jobs.at(step.key.job).occurrences[step.key.occurrence].steps[step.key.step].wait;
-    wait.rack = step.spec->preferred_rack;
-    rack_waits.wanted_at[wait.rack] = now;
     const instant latest = latest_start_on_rack(terms_of(step));
-    const bool is_over = now >= std::min(latest, wait.until.value_or(latest));
-    return is_over ? rack_id() : wait.rack;
+    if (now >= std::min(latest, wait.until.value_or(latest))) {
+        return {};
+    }
+    rack_id rack = step.spec->preferred_rack;
+    if (rack.empty()) {
+        rack = choose_single_rack(step, latest);
+        // A new owner chooses again until it knows its instances.
+        wait.rack = is_settled() ? rack : rack_id();
+        if (rack.empty() && is_settled()) {
+            end_wait(wait, now);
+        }
+    }
+    if (!rack.empty()) {
+        rack_waits.wanted_at[rack] = now;
+    }
+    return rack;
+}
+
+bool coordinator::state::is_settled() const {
+    return time.now() - begun_at >= settling_time;
+}
+
+void coordinator::state::end_wait(rack_wait& wait, instant until) const {
+    wait.until = until;
+    wait.until_utc = utc_millis(time.utc_now().value() + time_between(time.now(), until).count());
+}
+
+// The label that an executor shares with the fewest others, but with at least one: labels for other
+// properties than the rack are assumed to span racks.
+rack_id coordinator::state::rack_of(std::size_t index) {
+    auto& racks = rack_waits.rack_of_instance;
+    if (racks.empty()) {
+        std::map<std::string, std::size_t> executors_by_label;
+        for (const auto& instance : instances) {
+            for (const auto& label :
+                 instance.executor ? instance.executor->labels : std::vector<std::string>()) {
+                ++executors_by_label[label];
+            }
+        }
+        for (const auto& instance : instances) {
+            auto& rack = racks.emplace_back();
+            std::size_t fewest = 0;
+            for (const auto& label :
+                 instance.executor ? instance.executor->labels : std::vector<std::string>()) {
+                const auto count = executors_by_label.at(label);
+                if (rack.empty() || (count > 1 && (count <= fewest || fewest == 1))) {
+                    rack = rack_id(label);
+                    fewest = count;
+                }
+            }
+        }
+    }
+    return index < racks.size() ? racks[index] : rack_id();
+}
+
+// The rack of the tasks that the step already has, the one chosen before, or the one where all its
+// tasks can start soonest. Empty if its tasks span racks, or if no rack has places by `latest`; a
+// new owner that does not know all its instances yet takes any.
+rack_id coordinator::state::choose_single_rack(const ready_step& step, instant latest) {
+    const auto& chosen =
+        jobs.at(step.key.job).occurrences[step.key.occurrence].steps[step.key.step];
+    std::set<rack_id> occupied;
+    for (const auto& task : chosen.tasks) {
+        if (task.instance) {
+            occupied.insert(rack_of(*task.instance));
+        }
+    }
+    if (!occupied.empty() || !chosen.wait.rack.empty()) {
+        return occupied.empty()       ? chosen.wait.rack
+               : occupied.size() == 1 ? *occupied.begin()
+                                      : rack_id();
+    }
+    const auto context = placement_context_for(step);
+    std::set<rack_id> racks;
+    for (std::size_t i = 0; i < instances.size(); ++i) {
+        if (places_on(i, step, context) > 0) {
+            racks.insert(rack_of(i));
+        }
+    }
+    // Among equals one that no other step wants.
+    std::optional<std::tuple<instant, bool, rack_id>> best;
+    for (const auto& rack : racks) {
+        auto forecast = forecast_of(rack, context);
+        const auto begins =
+            forecast.reserve(demand_of(*step.spec), step.waiting.size(), run_time_of(*step.spec),
+                             latest, [&](std::size_t i) { return places_on(i, step, context); });
+        if (begins) {
+            const std::tuple found(*begins, rack_waits.wanted_at.contains(rack), rack);
+            best = best ? std::min(*best, found) : found;
+        }
+    }
+    if (best) {
+        return std::get<rack_id>(*best);
+    }
+    return is_settled() || racks.empty() ? rack_id() : *racks.begin();
+}
+
+placement_context coordinator::state::placement_context_for(const ready_step& step) {
+    placement_context context;
+    context.now = time.now();
+    context.evacuated = &evacuated_domains;
+    context.interference = &interference;
+    context.fillers = config.fillers;
+    context.crashes = config.crashes;
+    if (step.rules.requires_permit) {
+        context.permits = &permits_by_step[step.key].tickets();
+    }
+    return context;
 }
 
 std::uint32_t coordinator::state::places_on(std::size_t index, const ready_step& step,
@@ -161,8 +271,7 @@
                         ? rack_waits.factors.factor(spec.image, config.delays.off_rack_factor)
                         : 1;
                 run_progress run;
-                run.estimate = milliseconds(static_cast<std::int64_t>(
-                    static_cast<double>(run_time_of(spec).count()) * factor));
+                run.estimate = scaled(run_time_of(spec), factor);
                 run.started_at = task.sent_at;
                 run.percent = task.percent;
                 run.progressed_at =
@@ -174,8 +283,7 @@
             releases.push_back(
                 {context.now + stop_time, {reserved, reserved.processors.value(), false}});
         }
-        position->second.add_instance(i, instance.free(), instance.idle_millicores(),
-                                      std::move(releases));
+        position->second.add_instance(i, instance.free(), instance.idle_millicores(), releases);
     }
     return position->second;
 }
@@ -194,12 +302,12 @@
     const auto start = forecast_of(context.rack, context)
                            .reserve(demand_of(*step.spec), remaining, terms.run_time, limit,
                                     [&](std::size_t i) { return places_on(i, step, context); });
-    const bool is_settled = context.now - begun_at >= settling_time;
-    const bool gives_up = !start && is_settled;
+    const bool gives_up = !start && is_settled();
     if (gives_up) {
         until = context.now;
     }
-    if (is_first || gives_up) {
+    if (!wait.is_reported || gives_up) {
+        wait.is_reported = true;
         locality_wait report{step.key, context.rack, time_between(context.now, until),
                              gain_on_rack(terms), std::nullopt};
         if (start) {
@@ -207,31 +315,99 @@
         }
         orders.report_locality_wait(report);
     }
-    wait.until = until;
-    wait.until_utc = utc_millis(time.utc_now().value() + time_between(context.now, until).count());
+    end_wait(wait, until);
     return gives_up;
 }
 
+std::optional<std::size_t> coordinator::state::choose_instance_near_rack(
+    const ready_step& step, std::uint32_t index, placement_context& context) {
+    const auto instance = choose_instance(instances, step, context);
+    if (instance || context.rack.empty()) {
+        return instance;
+    }
+    const auto next = std::find(step.waiting.begin(), step.waiting.end(), index);
+    const auto remaining = static_cast<std::size_t>(step.waiting.end() - next);
+    if (!gives_up_rack(step, context, remaining)) {
+        return std::nullopt;
+    }
+    context.rack = {};
+    return choose_instance(instances, step, context);
+}
+
 void coordinator::state::record_rack_start(const ready_step& step, const task_key& key,
                                            std::size_t instance) {
     rack_waits.off_rack_tasks.erase(key);
     if (!may_wait_for_rack(*step.spec)) {
         return;
     }
-    const bool is_off_rack = is_off_preferred_rack(*step.spec, *instances[instance].executor);
-    if (is_off_rack && step.spec->writes_checkpoints) {
+    const auto& spec = *step.spec;
+    const auto& executor = *instances[instance].executor;
+    const auto& wait = jobs.at(key.job).occurrences[key.occurrence].steps[key.step].wait;
+    const bool is_off_rack = spec.preferred_rack.empty()
+                                 ? wait.rack.empty() || !has_label(executor, wait.rack.value())
+                                 : is_off_preferred_rack(spec, executor);
+    if (is_off_rack && !spec.preferred_rack.empty() && step.spec->writes_checkpoints) {
         rack_waits.off_rack_tasks.insert(key);
     }
     orders.report_locality_start(
         std::max(milliseconds(0), time_between(ready_time(step.key), time.now())), !is_off_rack);
 }
 
+bool coordinator::state::should_move_back(const task_key& key, const task_state& task) {
+    const auto& spec = spec_of(key);
+    const auto& rules = find_job(key.job)->submitted.rules;
+    if (task.phase != task_phase::running || task.checkpoint.empty() || spec.is_gang ||
+        spec.max_unavailable || rules.requires_permit) {
+        return false;
+    }
+    const instant now = time.now();
+    const double factor = rack_waits.factors.factor(spec.image, config.delays.off_rack_factor);
+    const run_progress run{scaled(run_time_of(spec), factor), task.sent_at, task.percent,
+                           task.progressed_at};
+    if (!is_worth_moving_back(time_between(now, predicted_end(run, now)),
+                              time_between(task.checkpointed_at, now), factor)) {
+        return false;
+    }
+    ready_step step;
+    step.key = {key.job, key.occurrence, key.step};
+    step.spec = &spec;
+    step.rules = rules;
+    auto context = placement_context_for(step);
+    context.rack = spec.preferred_rack;
+    return choose_instance(instances, step, context).has_value();
+}
+
+// Stops tasks that run elsewhere if their rack has a place again. Only first runs are moved, so
+// that a task moves at most once, whoever owns the coordinator; one for each rack at a time, since
+// the place is free for others until the run has ended.
+void coordinator::state::move_back_to_racks() {
+    std::set<rack_id> used;
+    auto& candidates = rack_waits.off_rack_tasks;
+    for (auto next = candidates.begin(); next != candidates.end();) {
+        const auto key = *next;
+        auto* task = find_task(key);
+        if (task == nullptr || !task->occupies_instance() || task->run > run_number(1) ||
+            task->phase == task_phase::stopping) {
+            next = candidates.erase(next);
+            continue;
+        }
+        ++next;
+        const auto& rack = spec_of(key).preferred_rack;
+        if (!used.contains(rack) && should_move_back(key, *task)) {
+            used.insert(rack);
+            orders.report_locality_move(key, rack);
+            stop_task(key, *task);
+        }
+    }
+}
+
 // Runs that were resumed from a checkpoint, or whose start this coordinator did not send, do not
 // show the run time of the whole task.
 void coordinator::state::record_rack_run(const task_key& key, const task_state& task) {
     const auto& spec = spec_of(key);
-    if (!may_wait_for_rack(spec) || !task.instance || !task.sent_at || task.run != run_number(1) ||
-        spec.estimate <= milliseconds(0) || !instances[*task.instance].executor) {
+    if (!may_wait_for_rack(spec) || spec.preferred_rack.empty() || !task.instance ||
+        !task.sent_at || task.run != run_number(1) || spec.estimate <= milliseconds(0) ||
+        !instances[*task.instance].executor) {
         return;
     }
     const auto run_time = time_between(*task.sent_at, time.now());
--- a/libs/dispatch/tests/locality_fleet.hpp
+++ b/libs/dispatch/tests/locality_fleet.hpp
@@ -111,5 +111,8 @@
     bool writes_checkpoints = false;
 };
 [[nodiscard]] submitted_job make_locality_job(const std::string& id, const locality_job& shape);
+// Leaves no room on `executors` executors of the first rack.
+[[nodiscard]] submitted_job make_blocker(const std::string& id, std::uint32_t executors,
+                                         milliseconds length);
 
 }  // namespace tanagerpaddle::dispatch::testing
--- a/libs/dispatch_node/src/owner_session.cpp
+++ b/libs/dispatch_node/src/owner_session.cpp
@@ -390,6 +390,12 @@
                {"predicted_ms", wait.predicted ? wait.predicted->count() : -1}});
 }
 
+void owner_session::report_locality_move(const task_key& task, const rack_id& rack) {
+    log_event(log_level::info, "locality_move",
+              {{"task", to_string(task)}, {"rack", rack.value()}});
+    metrics().counter_of(metric::tasks_evicted, {"locality"}).add(1);
+}
+
 void owner_session::report_locality_start(milliseconds waited, bool is_on_rack) {
     metrics()
         .latency_of(metric::locality_wait_seconds, {is_on_rack ? "on_rack" : "elsewhere"})
--- a/libs/dispatch_node/src/owner_session.hpp
+++ b/libs/dispatch_node/src/owner_session.hpp
@@ -66,6 +66,7 @@
                       milliseconds without_progress) override;
     void report_unstored_checkpoint(const task_key& task, std::size_t bytes) override;
     void report_locality_wait(const locality_wait& wait) override;
+    void report_locality_move(const task_key& task, const rack_id& rack) override;
     void report_locality_start(milliseconds waited, bool is_on_rack) override;
 
 private:
