--- a/libs/dispatch/tests/rack_waits_test.cpp
+++ b/libs/dispatch/tests/rack_waits_test.cpp
@@ -169,6 +169,44 @@
     }
 }
 
+// Rows of earlier builds lack the times, and odd ones must not end the coordinator.
+TEST_CASE("rows without times of steps are read, and times of unknown steps are refused") {
+    locality_fleet fleet(waiting_options());
+    fleet.run_for(milliseconds(1'200));
+    auto job = wanting_job("a", 2);
+    job.spec.steps[0].preferred_rack = rack_id();
+    fleet.submit(job);
+    fleet.run_for(milliseconds(1'500));
+    auto& row = fleet.rows.at({job_id("a"), 0});
+    const auto begin = row.find(",\"s\":[[0,0,");
+    REQUIRE(begin != std::string::npos);
+    const auto end = row.find("]]", begin) + 2;
+    const auto times = row.substr(begin, end - begin);
+    SUBCASE("without") {
+        row.erase(begin, times.size());
+        fleet.take_over();
+        fleet.run_for(milliseconds(4'000));
+        CHECK(fleet.violations.empty());
+        CHECK(fleet.job_times.contains(job_id("a")));
+        CHECK(racks_of(fleet, "a").contains(0));
+    }
+    SUBCASE("of a step that the job does not have") {
+        row.replace(begin, times.size(), ",\"s\":[[0,9,1700003602384],[7,0,1]]");
+        fleet.take_over();
+        fleet.run_for(milliseconds(4'000));
+        CHECK(fleet.violations.size() == 1);
+        CHECK(fleet.job_times.contains(job_id("a")));
+    }
+    SUBCASE("in the far future") {
+        row.replace(begin, times.size(),
+                    ",\"s\":[[0,0,3999999999999]],\"w\":[[0,1,3999999999999]]");
+        fleet.take_over();
+        fleet.run_for(milliseconds(4'000));
+        CHECK(fleet.violations.empty());
+        CHECK(fleet.job_times.contains(job_id("a")));
+    }
+}
+
 TEST_CASE("a wait that is over stays over under a new owner") {
     locality_fleet fleet(waiting_options());
     fleet.run_for(milliseconds(1'200));
--- a/libs/settings/src/reference.cpp
+++ b/libs/settings/src/reference.cpp
@@ -159,7 +159,7 @@
                 default_text(row, process_role::entry) + "` | " + allowed_text(row) + " | " +
                 (row.is_reloadable ? "yes" : "no") + " | " + std::string(row.description) + " |\n";
     }
-    return text;
+    return text + node_reference();
 }
 
 std::vector<std::string_view> changed_keys(const settings& from, const settings& to) {
--- a/libs/settings/src/settings_internal.hpp
+++ b/libs/settings/src/settings_internal.hpp
@@ -31,6 +31,9 @@
 // True if the role reads the key.
 [[nodiscard]] bool applies_to(const setting_descriptor& row, process_role role) noexcept;
 
+// The section on tanagerpaddle-node of docs/settings.md.
+[[nodiscard]] std::string node_reference();
+
 // Problems between keys; `source` and lines are left empty.
 [[nodiscard]] std::vector<setting_problem> find_conflicts(const settings& values);
 
