dispatch: settling time of a new owner counts from the first inventory

Cause: it counted from the construction of the coordinator, so that an owner that loads slowly gave waits up before it knew its instances. Runs of fillers, which are paced, were measured for the off-rack factor.

Change: it counts from the first claim; runs of fillers are not measured. Tests of evacuated racks and of permits.

--- a/libs/dispatch/src/coordinator.cpp
+++ b/libs/dispatch/src/coordinator.cpp
@@ -160,6 +160,7 @@
 // Instances
 
 void coordinator::instance_claimed(const instance_name& name, const inventory& found) {
+    state_->first_claimed_at = state_->first_claimed_at.value_or(state_->time.now());
     const auto index = state_->instance_index(name);
     auto& instance = state_->instances[index];
     const auto survivors = runs_that_survive(found);
--- a/libs/dispatch/src/coordinator_state.hpp
+++ b/libs/dispatch/src/coordinator_state.hpp
@@ -203,7 +203,7 @@
 
 struct coordinator::state {
     state(options settings, const clock& source, coordinator_orders& sink)
-        : config(settings), time(source), orders(sink), begun_at(source.now()) {}
+        : config(settings), time(source), orders(sink) {}
 
     // Phases, starts and completions that a write in progress makes durable.
     struct job_write {
@@ -336,7 +336,7 @@
     // do not wait for one any more.
     [[nodiscard]] bool gives_up_rack(const ready_step& step, const placement_context& context,
                                      std::size_t remaining);
-    // All agents that can be reached have been claimed.
+    // All agents that can be reached have been claimed and have told what runs there.
     [[nodiscard]] bool is_settled() const;
     void end_wait(rack_wait& wait, instant until) const;
     [[nodiscard]] rack_id rack_of(std::size_t instance);
@@ -381,7 +381,8 @@
     options config;
     const clock& time;
     coordinator_orders& orders;
-    instant begun_at;
+    // When an agent was first claimed.
+    std::optional<instant> first_claimed_at;
     std::vector<instance_state> instances;
     std::map<instance_name, std::size_t> index_by_name;
     std::unordered_map<job_id, job_state> jobs;
--- a/libs/dispatch/src/rack_waits.cpp
+++ b/libs/dispatch/src/rack_waits.cpp
@@ -12,8 +12,8 @@
 // Distance of the passes that decide about waits. A forecast walks the tasks of a rack; a step that
 // finds no place there waits at most this long for its decision.
 constexpr milliseconds review_interval{50};
-// Time in which a new owner gets the inventories of its agents. Before, a rack without a known
-// executor may have some, and its tasks are not all known.
+// Time from the first inventory in which a new owner gets those of the other agents. Before, a rack
+// without a known executor may have some, and its tasks are not all known.
 constexpr milliseconds settling_time{1'000};
 // A wait that was decided goes on while the forecast exceeds its end by no more than this: ends of
 // runs are known only by the next report, 0.3 s apart.
@@ -141,7 +141,7 @@
 }
 
 bool coordinator::state::is_settled() const {
-    return time.now() - begun_at >= settling_time;
+    return first_claimed_at && time.now() - *first_claimed_at >= settling_time;
 }
 
 void coordinator::state::end_wait(rack_wait& wait, instant until) const {
@@ -402,12 +402,12 @@
 }
 
 // Runs that were resumed from a checkpoint, or whose start this coordinator did not send, do not
-// show the run time of the whole task.
+// show the run time of the whole task, and those of fillers show their pace.
 void coordinator::state::record_rack_run(const task_key& key, const task_state& task) {
     const auto& spec = spec_of(key);
-    if (!may_wait_for_rack(spec) || spec.preferred_rack.empty() || !task.instance ||
-        !task.sent_at || task.run != run_number(1) || spec.estimate <= milliseconds(0) ||
-        !instances[*task.instance].executor) {
+    if (!may_wait_for_rack(spec) || spec.preferred_rack.empty() || spec.is_filler ||
+        !task.instance || !task.sent_at || task.run != run_number(1) ||
+        spec.estimate <= milliseconds(0) || !instances[*task.instance].executor) {
         return;
     }
     const auto run_time = time_between(*task.sent_at, time.now());
--- a/libs/dispatch/tests/locality_fleet.cpp
+++ b/libs/dispatch/tests/locality_fleet.cpp
@@ -61,7 +61,8 @@
         added.info.id = executor_id("executor-" + std::to_string(i));
         added.info.incarnation = executor_incarnation(1);
         added.info.service = service_id("service");
-        added.info.domain = failure_domain_id("domain");
+        added.info.domain =
+            failure_domain_id("domain-" + std::to_string(i / options.instances_per_rack));
         added.info.capacity = options.capacity;
         added.info.labels = {"a", "rack-" + std::to_string(i / options.instances_per_rack)};
         index_by_name_[instance_name("instance-" + std::to_string(i))] = i;
--- a/libs/dispatch/tests/locality_fleet.hpp
+++ b/libs/dispatch/tests/locality_fleet.hpp
@@ -38,6 +38,7 @@
     void take_over();
     void fail_writes(milliseconds time) { writes_fail_until_ = time_.now() + time; }
     [[nodiscard]] instant now() const { return time_.now(); }
+    [[nodiscard]] coordinator& jobs() { return *coordinator_; }
 
     // By job: the time from submission to the end of its last task.
     std::map<job_id, milliseconds> job_times;
--- a/libs/dispatch/tests/rack_waits_test.cpp
+++ b/libs/dispatch/tests/rack_waits_test.cpp
@@ -118,6 +118,35 @@
     CHECK(racks_of(fleet, "drained") == std::set<std::size_t>{1});
 }
 
+TEST_CASE("an evacuated rack is not waited for") {
+    locality_fleet fleet(waiting_options());
+    fleet.run_for(milliseconds(1'200));
+    block(fleet, milliseconds(800));
+    fleet.submit(wanting_job("a"));
+    fleet.run_for(milliseconds(100));
+    CHECK(racks_of(fleet, "a").empty());
+    fleet.jobs().set_evacuated({failure_domain_id("domain-0")});
+    fleet.run_for(milliseconds(100));
+    CHECK(racks_of(fleet, "a") == std::set<std::size_t>{1});
+}
+
+// The policy service allows no executor of the rack: there is nothing to wait for.
+TEST_CASE("a wait counts only executors with a permit") {
+    locality_fleet fleet(waiting_options());
+    fleet.run_for(milliseconds(1'200));
+    auto job = wanting_job("a");
+    job.rules.requires_permit = true;
+    fleet.jobs().set_queues({{job.queue, job.rules}});
+    fleet.submit(job);
+    fleet.run_for(milliseconds(100));
+    CHECK(racks_of(fleet, "a").empty());
+    const executor_id allowed("executor-9");
+    fleet.jobs().permits_granted({job.id, 0, 0}, {allowed}, {{allowed, "ticket"}},
+                                 fleet.now() + std::chrono::seconds(5));
+    fleet.run_for(milliseconds(150));
+    CHECK(racks_of(fleet, "a") == std::set<std::size_t>{1});
+}
+
 // Places where the task may not run do not count: here executors without the required label.
 TEST_CASE("a wait counts only places where the task may run") {
     locality_fleet fleet(waiting_options());
