dispatch: waits for racks under random faults

Cause: moves back to a rack stop runs, and waits survive a change of the owner; no test had both beside crashes, cuts, outages and takeovers.

--- a/libs/dispatch/tests/world.cpp
+++ b/libs/dispatch/tests/world.cpp
@@ -1,5 +1,6 @@
 #include "world.hpp"
 
+#include <algorithm>
 #include <functional>
 
 namespace tanagerpaddle::dispatch::testing {
@@ -282,6 +283,8 @@
         permit_requests.push_back({step, executors});
     }
     void send_traits(const instance_name&, const task_key&, const task_traits&) override {}
+    void report_locality_wait(const locality_wait&) override { ++locality_waits; }
+    void report_locality_move(const task_key&, const rack_id&) override { ++locality_moves; }
     void report_crash(const executor_crash& crash) override {
         for (const auto& suspect : crash.suspects) {
             if (suspect.has_failed && executor_crashes[suspect.task] < crashes_to_give_up) {
@@ -300,6 +303,7 @@
     void finish_due_runs(sim_executor& executor, std::size_t index);
     void record_finish(sim_executor& executor, const run_key& key, run_outcome how);
     void check_start(std::size_t index, const start_order& order, bool is_late);
+    [[nodiscard]] milliseconds run_time_on(std::size_t index, const step_spec& spec) const;
     void check_contents(const start_order& order, const std::string& what);
     void check_cancelled_runs(std::size_t index);
     std::string make_checkpoint(const task_key& task, run_number run, milliseconds work);
@@ -348,6 +352,8 @@
     instant taken_over_at;
     std::size_t start_count = 0;
     std::size_t stop_count = 0;
+    std::size_t locality_waits = 0;
+    std::size_t locality_moves = 0;
     std::map<task_key, time_to_crash> crashing;
     std::map<task_key, std::uint32_t> crash_counts;
     // The same for all tasks, whatever crashed the executor.
@@ -359,6 +365,17 @@
 // ---------------------------------------------------------------------------------------------
 // Executors
 
+milliseconds world::state::run_time_on(std::size_t index, const step_spec& spec) const {
+    const auto& labels = instances[index]->executor.info.labels;
+    const bool is_off_rack =
+        !spec.preferred_rack.empty() &&
+        std::find(labels.begin(), labels.end(), spec.preferred_rack.value()) == labels.end();
+    return is_off_rack
+               ? milliseconds(static_cast<std::int64_t>(static_cast<double>(spec.estimate.count()) *
+                                                        options.delays.off_rack_factor))
+               : spec.estimate;
+}
+
 // Payloads and checkpoints: those of the job and its tasks, and one checkpoint for all members of a
 // gang.
 void world::state::check_contents(const start_order& order, const std::string& what) {
@@ -732,7 +749,7 @@
                 run.began_at = owner->time.now();
                 run.ends_at = spec.is_long_running || hangs
                                   ? owner->time.now() + std::chrono::hours(1)
-                                  : owner->time.now() + spec.estimate;
+                                  : owner->time.now() + owner->run_time_on(index, spec);
                 run.how = owner->random.chance(owner->faults.failed_run) ? run_outcome::failed
                                                                          : run_outcome::succeeded;
                 executor.running[key] = run;
@@ -916,6 +933,7 @@
     coordinator::options settings;
     settings.tasks_per_row = options.tasks_per_row;
     settings.max_rows_per_write = options.max_rows_per_write;
+    settings.delays = options.delays;
     jobs = std::make_unique<coordinator>(settings, time, *this);
     jobs->set_queues({{queue_id("queue"), default_rules()}});
     jobs->set_evacuated(evacuated);
@@ -1026,6 +1044,7 @@
         info.incarnation = executor_incarnation(1);
         info.service = service_id("service");
         info.domain = failure_domain_id("domain-" + std::to_string(i % 2));
+        info.labels = {"rack-" + std::to_string(i % 2)};
         info.capacity = options.capacity;
         instance->capacity = options.capacity;
         state_->index_of[instance->name] = i;
@@ -1173,6 +1192,12 @@
 std::size_t world::stops() const {
     return state_->stop_count;
 }
+std::size_t world::locality_waits() const {
+    return state_->locality_waits;
+}
+std::size_t world::locality_moves() const {
+    return state_->locality_moves;
+}
 const std::vector<std::string>& world::violations() const {
     return state_->violations;
 }
--- a/libs/dispatch/tests/world.hpp
+++ b/libs/dispatch/tests/world.hpp
@@ -26,6 +26,9 @@
     bool delays_first_view = false;
     // Number of completions that an executor lists at a time.
     std::size_t max_listed_completions = 500;
+    // Runs off the preferred rack take `off_rack_factor` times as long. Instances are in the racks
+    // "rack-0" and "rack-1" in turn.
+    delay_rules delays{};
 };
 
 // Random faults; probabilities per second unless stated otherwise.
@@ -110,6 +113,9 @@
     [[nodiscard]] std::size_t starts() const;
     // Number of runs that were alive when they were ordered to stop.
     [[nodiscard]] std::size_t stops() const;
+    // Number of waits for a rack that were decided, and of moves back to a rack.
+    [[nodiscard]] std::size_t locality_waits() const;
+    [[nodiscard]] std::size_t locality_moves() const;
     // Number of executors that the task has crashed.
     [[nodiscard]] std::uint32_t crashes_by(const task_key& task) const;
     // Number of executors that crashed, for whatever cause, while they had the task.
