--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -449,6 +449,19 @@
     std::vector<std::pair<std::string_view, std::size_t>> instances_by_obstacle;
 };
 
+// How long the tasks of a step start only on one rack, as decided while the step waits.
+struct locality_wait {
+    step_key step;
+    rack_id rack;
+    // Afterwards they start anywhere; not after now if the step does not wait any more.
+    milliseconds until_in{0};
+    // What a task saves by running on the rack.
+    milliseconds gain{0};
+    // Time until the last waiting task can start on the rack; unset if that is not before the
+    // end of the wait, or cannot be told yet.
+    std::optional<milliseconds> predicted;
+};
+
 // Orders that leave the coordinator.
 class coordinator_orders {
 public:
@@ -473,9 +486,9 @@
     // For the log only: a run is about to be stopped because it has made no progress.
     virtual void report_stall(const instance_name& /*instance*/, const task_key& /*task*/,
                               run_number /*run*/, milliseconds /*without_progress*/) {}
-    // For the log only: a checkpoint of `bytes` exceeds `max_checkpoint_bytes`. It is left out of
-    // the row, so that a task restarts from its beginning after a change of the owner. Reported
-    // once for each task.
+    // For the log only: a checkpoint of `bytes` exceeds `max_checkpoint_bytes`. It is left out
+    // of the row, so that a task restarts from its beginning after a change of the owner.
+    // Reported once for each task.
     virtual void report_unstored_checkpoint(const task_key& /*task*/, std::size_t /*bytes*/) {}
     // For the log only: nothing but the long-running task starts on the instance until then.
     virtual void report_reservation(const instance_name& /*instance*/, const task_key& /*task*/,
@@ -485,37 +498,46 @@
                                    const std::vector<task_key>& /*stopped*/) {}
     // For the log only: at most once a second for each step.
     virtual void report_waiting_task(const waiting_task& /*waiting*/) {}
+    // For the log only: a wait was decided, or ended before its deadline.
+    virtual void report_locality_wait(const locality_wait& /*wait*/) {}
+    // For the log only: a run elsewhere is about to be stopped, to be resumed on its rack.
+    virtual void report_locality_move(const task_key& /*task*/, const rack_id& /*rack*/) {}
+    // For metrics only: a task of a step with such a wait is placed, this long after the step
+    // was ready.
+    virtual void report_locality_start(milliseconds /*waited*/, bool /*is_on_rack*/) {}
 };
 
 // How the coordinator recognises a task that crashes the executors that start it. Such a task
 // reports no failure, so that `max_attempts` does not end it.
 struct crash_rules {
     // A crash counts against the runs that began less than this time before the executor's last
-    // answer, since a task that crashes its executor does so soon after its start. The other tasks
-    // are cleared of earlier crashes.
+    // answer, since a task that crashes its executor does so soon after its start. The other
+    // tasks are cleared of earlier crashes.
     milliseconds suspicion_window{300};
-    // The same for an executor whose agent could not tell, before the instance's last observation:
-    // longer by the age of an observation, a sync of 0.5 s and a heartbeat of 0.3 s.
+    // The same for an executor whose agent could not tell, before the instance's last
+    // observation: longer by the age of an observation, a sync of 0.5 s and a heartbeat of 0.3
+    // s.
     milliseconds unobserved_window{1'100};
     // A crash is confirmed if the executor is known to have had the run, by the report of its
     // agent, otherwise suspected: the executor may not have begun the run, or the run may have
     // ended before, and an executor whose lease has expired may not have crashed. The job fails
-    // after this many confirmed crashes, if the latest is confirmed and no run of another job can
-    // have caused it.
+    // after this many confirmed crashes, if the latest is confirmed and no run of another job
+    // can have caused it.
     std::uint32_t max_confirmed_crashes = 2;
     // Crashes of both kinds after which the job of a task with as many confirmed ones as above
     // fails whoever else is to blame, if the latest is confirmed.
     std::uint32_t max_crashes = 4;
-    // Crashes of both kinds after which the job fails in any case, with the next end of an executor
-    // that is known, or with an expired lease if all others were known ends.
+    // Crashes of both kinds after which the job fails in any case, with the next end of an
+    // executor that is known, or with an expired lease if all others were known ends.
     std::uint32_t max_suspected_crashes = 5;
-    // A task with this many crashes is started apart from others: on an instance where nothing else
-    // has started within the suspicion window and nothing else does until the run has outlived it.
+    // A task with this many crashes is started apart from others: on an instance where nothing
+    // else has started within the suspicion window and nothing else does until the run has
+    // outlived it.
     std::uint32_t min_crashes_to_isolate = 2;
     // Longest wait for such an instance.
     milliseconds max_wait_for_isolation{2'000};
-    // Time after the start of such a run at which no news of a crash is proof that it has outlived
-    // the suspicion window: the agent notices a crash within 0.2 s.
+    // Time after the start of such a run at which no news of a crash is proof that it has
+    // outlived the suspicion window: the agent notices a crash within 0.2 s.
     milliseconds isolation_time{600};
     // Share of the instances that may be kept for such tasks at a time; at least one.
     double max_isolated_share = 0.25;
@@ -523,16 +545,17 @@
 
 // The store's limit on the value of a row, which holds also for its base64.
 constexpr std::size_t max_row_bytes = 65'536;
-// Largest number of tasks in a progress row. It is part of the format: another value would assign
-// stored tasks to other rows.
+// Largest number of tasks in a progress row. It is part of the format: another value would
+// assign stored tasks to other rows.
 constexpr std::uint32_t max_tasks_per_row = 64;
-// Limits on an instance name and on a checkpoint, as JSON without quotes; they bound what a task
-// adds to a row.
+// Limits on an instance name and on a checkpoint, as JSON without quotes; they bound what a
+// task adds to a row.
 constexpr std::size_t max_instance_name_bytes = 200;
 constexpr std::size_t max_checkpoint_bytes = 128;
 
-// A row of the progress table. Each task of a job has a fixed row, so that a later write of the row
-// replaces all that was stored of the task. The first row (0) also holds the phase of the job.
+// A row of the progress table. Each task of a job has a fixed row, so that a later write of the
+// row replaces all that was stored of the task. The first row (0) also holds the phase of the
+// job.
 struct progress_row {
     job_id job;
     std::string value;
@@ -545,27 +568,27 @@
 
 // How fillers share instances with serving tasks whose own load rises and falls within seconds.
 struct filler_rules {
-    // Utilisation that a serving task's own load may gain per second. A filler starts only if the
-    // serving tasks that it interferes with have room for that rise over the filler's run time;
-    // without it a filler that starts while the load is low stands still at the next peak and holds
-    // up its step. The own load was seen to swing by half of 0.48 within 10 to 20 s, which is 0.08
-    // to 0.15 per second at its steepest.
+    // Utilisation that a serving task's own load may gain per second. A filler starts only if
+    // the serving tasks that it interferes with have room for that rise over the filler's run
+    // time; without it a filler that starts while the load is low stands still at the next peak
+    // and holds up its step. The own load was seen to swing by half of 0.48 within 10 to 20 s,
+    // which is 0.08 to 0.15 per second at its steepest.
     double load_rise_per_s = 0.1;
     // Longest part of a run time for which that rise is reserved: a quarter of a swing of 20 s.
     milliseconds max_load_horizon{5'000};
-    // A step that has waited this long starts without that room: past capacity, a start that may be
-    // throttled later is better than none.
+    // A step that has waited this long starts without that room: past capacity, a start that
+    // may be throttled later is better than none.
     milliseconds max_wait_for_room{1'000};
-    // Share of the instances whose throttled fillers may be moved in one inspection, and the least
-    // number of moves. Each move takes capacity that the next one must not count on, but in a fleet
-    // the number of serving tasks at their peak grows with the number of instances.
+    // Share of the instances whose throttled fillers may be moved in one inspection, and the
+    // least number of moves. Each move takes capacity that the next one must not count on, but
+    // in a fleet the number of serving tasks at their peak grows with the number of instances.
     double moves_per_instance = 1;
     std::size_t min_moves = 4;
 };
 
-// How capacity is found for long-running tasks that have no run. One must run again within 6 s of
-// the end of its last run; the times below leave 2.5 s for the stops (0.9 s), the write and the
-// start.
+// How capacity is found for long-running tasks that have no run. One must run again within 6 s
+// of the end of its last run; the times below leave 2.5 s for the stops (0.9 s), the write and
+// the start.
 struct long_running_rules {
     // Long-running tasks go before others of their priority, and capacity is reserved for them.
     bool is_enabled = true;
@@ -575,9 +598,9 @@
     milliseconds max_wait_for_ends{1'500};
     // A reservation ends after this time, and another instance may be chosen.
     milliseconds reservation_time{4'000};
-    // Share of the instances that may be reserved at a time, at least one. It does not hold for a
-    // task that has waited for both times above: after the loss of half of the instances, tasks
-    // that need more of them would miss the 6 s.
+    // Share of the instances that may be reserved at a time, at least one. It does not hold for
+    // a task that has waited for both times above: after the loss of half of the instances,
+    // tasks that need more of them would miss the 6 s.
     double max_reserved_share = 0.25;
     // No long-running task starts for this long on an instance that has refused a start: one
     // heartbeat, after which an agent that had no lease has one.
@@ -588,12 +611,12 @@
 
 // Order in which steps of the same priority are placed.
 struct ordering_rules {
-    // Ranks and remaining work follow from measured run times instead of the declared ones, which
-    // can be wrong by 0.9 of their value.
+    // Ranks and remaining work follow from measured run times instead of the declared ones,
+    // which can be wrong by 0.9 of their value.
     bool uses_measured_run_times = true;
-    // One placement in this many goes to the oldest job that can yield no more benefit, while such
-    // a job waits; 0 means that these jobs get only what the others leave. A tenth of the capacity
-    // is what the requirements grant them (docs/two-customers.md, part 1).
+    // One placement in this many goes to the oldest job that can yield no more benefit, while
+    // such a job waits; 0 means that these jobs get only what the others leave. A tenth of the
+    // capacity is what the requirements grant them (docs/two-customers.md, part 1).
     std::uint32_t placements_per_late_turn = 10;
 };
 
@@ -641,38 +664,48 @@
     std::optional<std::chrono::seconds> retry_after;
 };
 
-// Decides whether a job is refused by the forecast; std::nullopt admits it. `refuses_overload` is
-// the setting scheduling.admission. Timed jobs and jobs with long-running tasks are never refused
-// for overload: they yield benefit whenever they run.
+// Decides whether a job is refused by the forecast; std::nullopt admits it. `refuses_overload`
+// is the setting scheduling.admission. Timed jobs and jobs with long-running tasks are never
+// refused for overload: they yield benefit whenever they run.
 [[nodiscard]] std::optional<refusal> decide_admission(const submitted_job& job,
                                                       const fleet_forecast& forecast,
                                                       bool refuses_overload);
-// When a job that is refused because the store does not answer is to be submitted again: `silence`
-// is the time since the store's last answer, `longest_outage` the longest of the recent outages.
+// When a job that is refused because the store does not answer is to be submitted again:
+// `silence` is the time since the store's last answer, `longest_outage` the longest of the
+// recent outages.
 [[nodiscard]] std::chrono::seconds store_retry_after(const job_id& job, milliseconds silence,
                                                      milliseconds longest_outage);
 
-// Decides what runs where for all jobs of a system. The caller ensures that only one process at a
-// time writes progress rows (see libs/dispatch_node). All state needed after a takeover is in the
-// rows: add_job and restore rebuild it, instance_claimed adds what agents report.
+// Waiting for a place near a step's data (`preferred_rack`) or near its group
+// (`is_single_rack`).
+struct delay_rules {
+    // Run time off the rack, as a multiple of that on it. At 1 no step waits.
+    double off_rack_factor = 1;
+};
+
+// Decides what runs where for all jobs of a system. The caller ensures that only one process at
+// a time writes progress rows (see libs/dispatch_node). All state needed after a takeover is in
+// the rows: add_job and restore rebuild it, instance_claimed adds what agents report.
 class coordinator {
 public:
     struct options {
         lease_timing timing;
-        // Maximum number of rows in one write; the store accepts 100 entries, one of which is the
-        // owner's row.
+        // Maximum number of rows in one write; the store accepts 100 entries, one of which is
+        // the owner's row.
         std::size_t max_rows_per_write = 90;
-        // Maximum size of the rows of one write; the store accepts 1 MB, with the rows in base64.
+        // Maximum size of the rows of one write; the store accepts 1 MB, with the rows in
+        // base64.
         std::size_t max_bytes_per_write = 700'000;
         // At least 1. Smaller values than the default are for tests.
         std::uint32_t tasks_per_row = max_tasks_per_row;
         filler_rules fillers;
         crash_rules crashes;
         long_running_rules long_running;
-        // Among steps of the same priority and rank, those of the queue with the smallest share of
-        // its service in use go first.
+        // Among steps of the same priority and rank, those of the queue with the smallest share
+        // of its service in use go first.
         bool has_fair_shares = true;
         ordering_rules ordering;
+        delay_rules delays;
     };
 
     coordinator(options settings, const clock& time, coordinator_orders& orders);
@@ -680,27 +713,29 @@
     coordinator(const coordinator&) = delete;
     coordinator& operator=(const coordinator&) = delete;
 
-    // --- configuration -------------------------------------------------------------------------
-    // Sets the existing queues. Jobs of other queues keep the rules they were accepted with, but no
-    // task of theirs starts.
+    // --- configuration
+    // ------------------------------------------------------------------------- Sets the
+    // existing queues. Jobs of other queues keep the rules they were accepted with, but no task
+    // of theirs starts.
     void set_queues(const std::map<queue_id, queue_rules>& queues);
     // Sets the failure domains in which no task may start.
     void set_evacuated(const std::set<failure_domain_id>& domains);
 
-    // --- jobs ----------------------------------------------------------------------------------
-    // Adds a stored job. `age` is the time since its acceptance. Jobs already added are ignored.
+    // --- jobs
+    // ---------------------------------------------------------------------------------- Adds a
+    // stored job. `age` is the time since its acceptance. Jobs already added are ignored.
     void add_job(const submitted_job& job, milliseconds age);
-    // Restores a progress row that an earlier owner wrote; call it after add_job of its job, for
-    // the rows of a job in any order. Tasks that the row places on an instance stay assigned to it
-    // until the instance's inventory resolves their state or `expires_at` has passed. Returns false
-    // if the row cannot be read or the job has no such row, which is then ignored, or if it lists a
-    // task twice or one that does not belong to it: these entries are ignored. A first row that
-    // lists tasks of other rows was written by an earlier version; these count unless their own row
-    // is restored.
+    // Restores a progress row that an earlier owner wrote; call it after add_job of its job,
+    // for the rows of a job in any order. Tasks that the row places on an instance stay
+    // assigned to it until the instance's inventory resolves their state or `expires_at` has
+    // passed. Returns false if the row cannot be read or the job has no such row, which is then
+    // ignored, or if it lists a task twice or one that does not belong to it: these entries are
+    // ignored. A first row that lists tasks of other rows was written by an earlier version;
+    // these count unless their own row is restored.
     bool restore(const job_id& job, std::string_view row, instant expires_at,
                  std::uint32_t number = 0);
-    // A job that is added later counts as cancelled as well, unless forget_cancellation is called
-    // before.
+    // A job that is added later counts as cancelled as well, unless forget_cancellation is
+    // called before.
     void cancel_job(const job_id& job);
     // The job's cancellation is no longer stored. Has no effect on a job that has been added.
     void forget_cancellation(const job_id& job);
@@ -710,33 +745,34 @@
     // counted.
     [[nodiscard]] std::size_t queued_jobs(const queue_id& queue) const;
 
-    // --- instances ------------------------------------------------------------------------------
-    // The agent of `instance` now accepts orders of this coordinator; `found` is its inventory.
-    // Called again for each further inventory, such as after the end of an executor. Runs on an
-    // instance without a known executor end at the latest one expiry_delay after the first, or one
-    // max_expiry_delay after the end of an executor whose calls the next one may take.
+    // --- instances
+    // ------------------------------------------------------------------------------ The agent
+    // of `instance` now accepts orders of this coordinator; `found` is its inventory. Called
+    // again for each further inventory, such as after the end of an executor. Runs on an
+    // instance without a known executor end at the latest one expiry_delay after the first, or
+    // one max_expiry_delay after the end of an executor whose calls the next one may take.
     void instance_claimed(const instance_name& instance, const inventory& found);
-    // The link to the agent is closed. Its runs count as running until `expires_at`, or until the
-    // earlier time at which those of an instance without a known executor end.
+    // The link to the agent is closed. Its runs count as running until `expires_at`, or until
+    // the earlier time at which those of an instance without a known executor end.
     void instance_disconnected(const instance_name& instance, instant expires_at);
-    // True if the instance's executor is known. An agent without one must get no grants: the runs
-    // that an earlier owner started there count as ended when the earlier grants expire.
+    // True if the instance's executor is known. An agent without one must get no grants: the
+    // runs that an earlier owner started there count as ended when the earlier grants expire.
     [[nodiscard]] bool has_executor(const instance_name& instance) const;
-    // The tasks of an instance whose executor is not known, and when their runs have ended unless
-    // an inventory resolves them before.
+    // The tasks of an instance whose executor is not known, and when their runs have ended
+    // unless an inventory resolves them before.
     struct unresolved_tasks {
         std::size_t count = 0;
         instant runs_end_by;
     };
     [[nodiscard]] unresolved_tasks unresolved(const instance_name& instance) const;
     void executor_changed(const instance_name& instance, const executor_info& info);
-    // The executor has crashed or left; none of its runs is alive. `ages` holds the runs that the
-    // agent knew of; empty if the agent does not report them. Ignored if the instance's executor is
-    // not known yet: the agent's next inventory tells of the end.
+    // The executor has crashed or left; none of its runs is alive. `ages` holds the runs that
+    // the agent knew of; empty if the agent does not report them. Ignored if the instance's
+    // executor is not known yet: the agent's next inventory tells of the end.
     void executor_terminated(const instance_name& instance, executor_incarnation incarnation,
                              const std::vector<run_age>& ages = {});
-    // The agent recorded the end before it left itself, so that no inventory tells of it. Has no
-    // effect on runs of newer executors.
+    // The agent recorded the end before it left itself, so that no inventory tells of it. Has
+    // no effect on runs of newer executors.
     void executor_end_recorded(const instance_name& instance, const executor_end& end);
     void start_reported(const instance_name& instance, const task_key& task, run_number run,
                         start_outcome outcome);
@@ -744,10 +780,10 @@
     void stop_confirmed(const instance_name& instance, const task_key& task, run_number run);
     void runs_finished(const instance_name& instance, executor_incarnation incarnation,
                        const std::vector<finished_task>& completions);
-    // Tasks whose progress changed, and the executor's latest sample. `has_complete_view` is false
-    // if the agent has not read complete lists of its executor since its previous report: the
-    // progress of the other tasks is then unknown, not zero. A run that the coordinator does not
-    // expect is stopped.
+    // Tasks whose progress changed, and the executor's latest sample. `has_complete_view` is
+    // false if the agent has not read complete lists of its executor since its previous report:
+    // the progress of the other tasks is then unknown, not zero. A run that the coordinator
+    // does not expect is stopped.
     void progress_reported(const instance_name& instance, const std::vector<running_task>& running,
                            const interference_sample& sample, bool has_complete_view = true);
     // Interference estimated from the samples of all instances.
@@ -759,9 +795,10 @@
                          const std::vector<permit>& permits, instant valid_until);
     void permit_request_failed(const step_key& step);
 
-    // --- time and writes -----------------------------------------------------------------------
-    // Expires unreachable instances, releases occurrences that are due, and places ready tasks.
-    // Call it after events and at least every 100 ms.
+    // --- time and writes
+    // ----------------------------------------------------------------------- Expires
+    // unreachable instances, releases occurrences that are due, and places ready tasks. Call it
+    // after events and at least every 100 ms.
     void plan();
     [[nodiscard]] bool has_writes() const;
     // Returns the rows to write next; only one write may be in progress at a time.
@@ -786,9 +823,9 @@
     [[nodiscard]] std::map<queue_id, std::int64_t> queue_shares() const;
     // Run times by image as measured under this coordinator.
     [[nodiscard]] const run_times& measured_run_times() const;
-    // Predicts from the current state when a job of each queue would start and end, and lists the
-    // executors. `expected_instances` is the number of registered agents. Takes a walk over all
-    // open tasks: meant for two calls a second.
+    // Predicts from the current state when a job of each queue would start and end, and lists
+    // the executors. `expected_instances` is the number of registered agents. Takes a walk over
+    // all open tasks: meant for two calls a second.
     [[nodiscard]] fleet_forecast forecast(std::size_t expected_instances);
 
     struct state;
@@ -813,8 +850,8 @@
     return epoch_number(claim.value() >> claim_counter_bits);
 }
 
-// Orders that leave the agent. Calls to the executor carry the epoch, so that the executor refuses
-// delayed orders of an earlier coordinator.
+// Orders that leave the agent. Calls to the executor carry the epoch, so that the executor
+// refuses delayed orders of an earlier coordinator.
 class agent_orders {
 public:
     agent_orders() = default;
@@ -851,9 +888,9 @@
     epoch_number epoch;
     std::vector<running_task> running;
     std::vector<finished_task> finished;
-    // False if runs may have finished that `finished` does not list: an executor returns a limited
-    // number at a time, and the next ones once these are acknowledged. A run that such a view does
-    // not list is then in an unknown state.
+    // False if runs may have finished that `finished` does not list: an executor returns a
+    // limited number at a time, and the next ones once these are acknowledged. A run that such
+    // a view does not list is then in an unknown state.
     bool is_complete = true;
 };
 
@@ -861,8 +898,9 @@
 public:
     agent(const clock& time, agent_orders& orders);
 
-    // --- coordinator ---------------------------------------------------------------------------
-    // A coordinator claims this agent. Returns false if a later one already has.
+    // --- coordinator
+    // --------------------------------------------------------------------------- A coordinator
+    // claims this agent. Returns false if a later one already has.
     bool claim(epoch_number epoch);
     [[nodiscard]] epoch_number epoch() const noexcept { return epoch_; }
     [[nodiscard]] inventory current_inventory() const;
@@ -878,29 +916,30 @@
     [[nodiscard]] interference_model::pressure_table pressures() const {
         return model_.pressures();
     }
-    // The coordinator answered a heartbeat: the lease is extended to `until` unless it already ends
-    // later.
+    // The coordinator answered a heartbeat: the lease is extended to `until` unless it already
+    // ends later.
     void lease_granted(instant until);
     [[nodiscard]] instant lease_expires_at() const noexcept { return granted_until_; }
 
-    // --- executor ------------------------------------------------------------------------------
-    // A report describes an incarnation, and anyone may send one; only the lists tell which
-    // incarnation the executor has. A report of another one is kept until they do. Returns true if
-    // the coordinator must be notified of a change.
+    // --- executor
+    // ------------------------------------------------------------------------------ A report
+    // describes an incarnation, and anyone may send one; only the lists tell which incarnation
+    // the executor has. A report of another one is kept until they do. Returns true if the
+    // coordinator must be notified of a change.
     bool executor_reported(const executor_info& info);
-    // True if the report names the incarnation of the executor's lists but another id or service:
-    // it comes from another writer and is ignored.
+    // True if the report names the incarnation of the executor's lists but another id or
+    // service: it comes from another writer and is ignored.
     [[nodiscard]] bool contradicts_lists(const executor_info& info) const;
     // Views must be delivered in the order in which they were requested. Returns true if the
-    // coordinator must get an inventory: this is the first view of a reported executor under the
-    // current claim, or it shows that the known executor has ended.
+    // coordinator must get an inventory: this is the first view of a reported executor under
+    // the current claim, or it shows that the known executor has ended.
     bool executor_view_received(const executor_view& view);
     // The executor did not answer, or a connection to it broke or was refused: another one may
     // listen at its address by now. No start is sent until the next lists tell which one does.
     void connection_lost() noexcept { is_in_doubt_ = true; }
-    // The executor's port refuses connections: none of the instance is alive. Returns true if the
-    // coordinator must get an inventory, since this was not known. Call it only while no start is
-    // open, which the next executor might take.
+    // The executor's port refuses connections: none of the instance is alive. Returns true if
+    // the coordinator must get an inventory, since this was not known. Call it only while no
+    // start is open, which the next executor might take.
     bool executor_unreachable();
     // A start has been sent to the executor and start_answered has not been called for it.
     [[nodiscard]] bool has_open_starts() const noexcept { return !open_starts_.empty(); }
@@ -920,9 +959,9 @@
         return acknowledged_completion_;
     }
 
-    // The lists of another incarnation than the first one under the current claim were read: calls
-    // that were meant for that one may still reach this one. The coordinator must claim the agent
-    // again, with a higher epoch; no inventory names an executor until then.
+    // The lists of another incarnation than the first one under the current claim were read:
+    // calls that were meant for that one may still reach this one. The coordinator must claim
+    // the agent again, with a higher epoch; no inventory names an executor until then.
     [[nodiscard]] bool needs_claim() const;
 
     // Repeats unanswered orders. Call it every 100 ms.
@@ -971,24 +1010,25 @@
     agent_orders& orders_;
     epoch_number epoch_;
     instant granted_until_;
-    // The incarnation that the executor's lists name, and its report. Before any lists were read,
-    // the latest report.
+    // The incarnation that the executor's lists name, and its report. Before any lists were
+    // read, the latest report.
     std::optional<executor_incarnation> listed_incarnation_;
     std::optional<executor_info> executor_;
-    // The latest report of each of the incarnations that have reported last, in order of arrival.
+    // The latest report of each of the incarnations that have reported last, in order of
+    // arrival.
     std::vector<executor_info> reports_;
     std::optional<executor_end> last_end_;
     bool is_vacant_ = false;
     bool is_in_doubt_ = false;
-    // The incarnation that the first lists under the current epoch named. Calls that were sent to
-    // it may reach another one, which takes them: that one is used under a later epoch only.
+    // The incarnation that the first lists under the current epoch named. Calls that were sent
+    // to it may reach another one, which takes them: that one is used under a later epoch only.
     std::optional<executor_incarnation> epoch_incarnation_;
-    // When the listed incarnation was first read under an epoch of its own. It has refused calls
-    // that were meant for earlier ones since.
+    // When the listed incarnation was first read under an epoch of its own. It has refused
+    // calls that were meant for earlier ones since.
     std::optional<instant> refuses_earlier_calls_since_;
-    // The lists of this incarnation have been read under the current epoch, and it is the epoch's
-    // own: the executor refuses orders of earlier epochs, so that no run can start that the lists
-    // do not contain.
+    // The lists of this incarnation have been read under the current epoch, and it is the
+    // epoch's own: the executor refuses orders of earlier epochs, so that no run can start that
+    // the lists do not contain.
     bool has_view_ = false;
     bool has_had_view_ = false;
     std::uint64_t complete_view_count_ = 0;
@@ -997,8 +1037,8 @@
     // Runs whose start has been sent and not been answered. Its connection may be to a later
     // executor than the one that it is meant for.
     std::set<run_key> open_starts_;
-    // Runs whose starts an earlier claim, or an executor that has ended, left unresolved. The first
-    // lists under a claim of their own incarnation resolve them.
+    // Runs whose starts an earlier claim, or an executor that has ended, left unresolved. The
+    // first lists under a claim of their own incarnation resolve them.
     std::set<run_key> unresolved_starts_;
     // Those that these lists did not show: the executor refuses the starts from now on.
     std::set<run_key> refused_starts_;
--- a/libs/dispatch/src/coordinator_state.hpp
+++ b/libs/dispatch/src/coordinator_state.hpp
@@ -7,6 +7,7 @@
 #include <unordered_set>
 
 #include "crashes.hpp"
+#include "delay_scheduling.hpp"
 #include "late_turns.hpp"
 #include "long_running_reservation.hpp"
 #include "permits.hpp"
@@ -60,6 +61,8 @@
     executor_incarnation incarnation;
     instant started_at;
     bool has_begun = false;
+    // When this coordinator sent the start of the current run; unset if an earlier one did.
+    std::optional<instant> sent_at;
     // Runs other than the current one that are being stopped, and the instance of the newest.
     std::uint32_t orphaned_runs = 0;
     std::optional<std::size_t> orphan_instance;
@@ -73,6 +76,18 @@
     }
 };
 
+// The wait of a step for a place on a rack; see delay_scheduling.hpp.
+struct rack_wait {
+    // The preferred rack, or the one chosen for a step whose tasks run on a single rack.
+    rack_id rack;
+    // Until then tasks start only on the rack; unset while that is not decided. Never moves later.
+    std::optional<instant> until;
+    // The same for progress rows.
+    utc_millis until_utc;
+    // This owner has reported the wait.
+    bool is_reported = false;
+};
+
 struct step_state {
     std::vector<task_state> tasks;
     std::uint32_t succeeded = 0;
@@ -81,6 +96,9 @@
     std::uint64_t offset = 0;
     // Since when the step has been ready and had tasks without an instance.
     std::optional<instant> waiting_since;
+    // When the last task succeeded; known only if later steps may wait for a rack.
+    std::optional<utc_millis> ended_at;
+    rack_wait wait;
 
     [[nodiscard]] bool is_done() const noexcept { return succeeded == tasks.size(); }
 };
@@ -159,6 +177,31 @@
     std::vector<std::array<std::uint32_t, 3>> succeeded;
     // The executors that the instances in `histories` had.
     std::map<instance_name, executor_incarnation> executors;
+    // What later owners need to go on with waits for racks: when steps have ended, and until when
+    // steps wait.
+    struct step_time {
+        std::uint32_t occurrence = 0;
+        std::uint32_t step = 0;
+        utc_millis at;
+    };
+    std::vector<step_time> step_ends;
+    std::vector<step_time> wait_ends;
+};
+
+// Memory of the waits for racks beside that of the steps.
+struct rack_wait_memory {
+    // Decisions are made in passes at this distance; see rack_waits.cpp.
+    instant reviewed_at;
+    bool is_review = false;
+    // By rack; built when a task finds no place there, and dropped at the next review.
+    std::map<rack_id, rack_forecast> forecasts;
+    // When a step last wanted the rack.
+    std::map<rack_id, instant> wanted_at;
+    // By instance; computed when a step needs it, and dropped at the next review.
+    std::vector<rack_id> rack_of_instance;
+    off_rack_factors factors;
+    // Tasks with checkpoints that were placed off their rack.
+    std::set<task_key> off_rack_tasks;
 };
 
 [[nodiscard]] task_traits traits_of(const step_spec& spec);
@@ -340,7 +383,42 @@
     std::map<service_id, service_supply> collect_supply();
     [[nodiscard]] fleet_forecast make_forecast(std::size_t expected_instances);
 
-    // --- placement (planning.cpp, stalls.cpp)
+    // --- waits for racks (rack_waits.cpp)
+    [[nodiscard]] bool may_wait_for_rack(const step_spec& spec) const;
+    [[nodiscard]] milliseconds expected_run_time(const step_spec& spec) const;
+    [[nodiscard]] instant instant_of(utc_millis utc) const;
+    [[nodiscard]] instant ready_time(const step_key& key);
+    [[nodiscard]] wait_terms terms_of(const ready_step& step);
+    // Begins a pass over the ready steps.
+    void begin_rack_pass();
+    // The rack on which tasks of the step start now; empty if any rack will do.
+    [[nodiscard]] rack_id rack_to_wait_for(const ready_step& step);
+    // No place was found on `context.rack` for the last `remaining` tasks of the step. True if they
+    // do not wait for one any more.
+    [[nodiscard]] bool gives_up_rack(const ready_step& step, const placement_context& context,
+                                     std::size_t remaining);
+    // All agents that can be reached have been claimed and have told what runs there.
+    [[nodiscard]] bool is_settled() const;
+    void end_wait(rack_wait& wait, instant until) const;
+    [[nodiscard]] rack_id rack_of(std::size_t instance);
+    [[nodiscard]] rack_id choose_single_rack(const ready_step& step, instant latest);
+    [[nodiscard]] bool should_move_back(const task_key& key, const task_state& task);
+    void move_back_to_racks();
+    // The best instance for the waiting task `index`: on `context.rack` while its step waits for
+    // it, otherwise any, and `context.rack` is cleared.
+    std::optional<std::size_t> choose_instance_near_rack(const ready_step& step,
+                                                         std::uint32_t index,
+                                                         placement_context& context);
+    rack_forecast& forecast_of(const rack_id& rack, const placement_context& context);
+    [[nodiscard]] std::uint32_t places_on(std::size_t instance, const ready_step& step,
+                                          const placement_context& context) const;
+    void record_rack_start(const ready_step& step, const task_key& key, std::size_t instance);
+    void record_rack_run(const task_key& key, const task_state& task);
+    void record_step_end(const task_key& key);
+    // Takes the times of a progress row over; returns false if one of them belongs to no step.
+    bool restore_waits(job_state& job, const progress_record& record);
+
+    // --- placement (planning.cpp, gang_placement.cpp, stalls.cpp)
     void release_due_occurrences();
     void expire_instances();
     void place_ready_steps();
@@ -352,6 +430,9 @@
     bool place_step(const ready_step& step);
     void keep_largest_instance(const ready_step& step, const placement_context& context);
     bool place_gang(const ready_step& step);
+    // Instances on which the gang can start together; fewer than it has members if it can't.
+    [[nodiscard]] std::vector<std::size_t> choose_gang_instances(const ready_step& step,
+                                                                 const placement_context& context);
     void place_task(const ready_step& step, std::uint32_t index, std::size_t instance);
     [[nodiscard]] bool is_known_unplaceable(const ready_step& step) const;
     // Asks the policy service for more executors if a request is due.
@@ -361,6 +442,8 @@
     options config;
     const clock& time;
     coordinator_orders& orders;
+    // When an agent was first claimed.
+    std::optional<instant> first_claimed_at;
     std::vector<instance_state> instances;
     std::map<instance_name, std::size_t> index_by_name;
     std::unordered_map<job_id, job_state> jobs;
@@ -381,6 +464,7 @@
     late_turns turns;
     fleet_load load;
     executor_census census;
+    rack_wait_memory rack_waits;
     // Smallest filler demand in millicores for which the current pass found no instance, by image
     // and by whether the step has to leave room for the serving tasks' load.
     std::map<std::pair<std::string, bool>, std::int64_t> unplaceable_fillers;
--- a/libs/dispatch/src/placement.cpp
+++ b/libs/dispatch/src/placement.cpp
@@ -130,6 +130,17 @@
     return instance.serving_tasks_by_image.contains(image) ? 0 : 2;
 }
 
+// Added to the preference of a batch task for an instance on a rack that other steps want; exceeds
+// the differences between the preferences.
+constexpr int wanted_rack_preference = 3;
+
+int rack_preference(const instance_state& instance, const step_spec& spec) {
+    const bool is_others =
+        instance.is_on_wanted_rack && (spec.preferred_rack.empty() ||
+                                       !has_label(*instance.executor, spec.preferred_rack.value()));
+    return is_others ? wanted_rack_preference : 0;
+}
+
 // Weights of the penalties; a higher one goes before the sum of the lower ones.
 constexpr int near_suspect_penalty = 1;
 constexpr int off_rack_penalty = 2;
@@ -162,7 +173,9 @@
     const std::int64_t remaining_millicores =
         instance.free().processors.value() - spec.demand.processors.value();
     if (spec.is_filler) {
-        return {penalty, filler_preference(instance, spec.image, *context.interference),
+        return {penalty,
+                filler_preference(instance, spec.image, *context.interference) +
+                    rack_preference(instance, spec),
                 -instance.idle_millicores()};
     }
     if (spec.tail_target.count() > 0) {
@@ -173,7 +186,9 @@
     }
     // Other tasks cause no interference: they go to instances with serving tasks first and then to
     // the fullest ones, which keeps capacity for large tasks.
-    return {penalty, instance.serving_tasks_by_image.empty() ? 1 : 0, remaining_millicores};
+    return {penalty,
+            (instance.serving_tasks_by_image.empty() ? 1 : 0) + rack_preference(instance, spec),
+            remaining_millicores};
 }
 
 }  // namespace
@@ -335,6 +350,10 @@
     return obstacle_of(instance, step, context) == placement_obstacle::none;
 }
 
+bool is_on_rack(const executor_info& executor, const placement_context& context) {
+    return context.rack.empty() || has_label(executor, context.rack.value());
+}
+
 std::optional<std::size_t> choose_instance(std::vector<instance_state>& instances,
                                            const ready_step& step,
                                            const placement_context& context) {
--- a/libs/dispatch/src/placement.hpp
+++ b/libs/dispatch/src/placement.hpp
@@ -84,6 +84,9 @@
     instant last_suspect_at{};
     // When a start was last refused here for another reason than capacity or a permit.
     std::optional<instant> refused_at;
+    // Steps want the instance's rack: tasks that do not are placed elsewhere where that costs
+    // nothing.
+    bool is_on_wanted_rack = false;
     // The only task that may start here; see crash_rules.
     std::optional<task_key> isolated_task;
 
@@ -110,6 +113,9 @@
     instant objective;
     // Long-running tasks, which are placed before others of their priority.
     bool has_precedence = false;
+    // Estimated run time of the job's longest chain of steps, and of its unfinished part.
+    milliseconds chain{0};
+    milliseconds chain_left{0};
     // The job has had no assigned task for so long that one task may start wherever capacity
     // suffices.
     bool is_starved = false;
@@ -168,6 +174,8 @@
                                                          const placement_context& context);
 // True if the policy service allows the executor, or need not be asked.
 [[nodiscard]] bool has_permit(const executor_info& executor, const placement_context& context);
+// True if the executor is on the rack of the context, or that names none.
+[[nodiscard]] bool is_on_rack(const executor_info& executor, const placement_context& context);
 [[nodiscard]] bool has_label(const executor_info& executor, const std::string& label);
 // The first condition for a start on the instance that is not met.
 enum class placement_obstacle : std::uint8_t {
--- a/libs/dispatch/src/planning.cpp
+++ b/libs/dispatch/src/planning.cpp
@@ -39,17 +39,6 @@
                        [&](std::uint32_t earlier) { return occurrence.steps[earlier].is_done(); });
 }
 
-// The checkpoint from which a gang resumes: all members need the same one, and that of any member
-// is valid for all.
-std::string newest_checkpoint(const std::vector<task_state>& members) {
-    const auto newest =
-        std::max_element(members.begin(), members.end(), [](const auto& left, const auto& right) {
-            return std::pair(!left.checkpoint.empty(), left.checkpointed_at) <
-                   std::pair(!right.checkpoint.empty(), right.checkpointed_at);
-        });
-    return newest->checkpoint;
-}
-
 }  // namespace
 
 void coordinator::plan() {
@@ -64,6 +53,7 @@
     state_->place_ready_steps();
     if (is_inspection_due) {
         state_->move_throttled_fillers();
+        state_->move_back_to_racks();
     }
     state_->report_waiting_tasks();
     state_->flush_acknowledgements();
@@ -146,6 +136,8 @@
                 step.due_at = occurrence.due_at;
                 step.rank = rank_of(step, work, now);
                 step.has_precedence = has_precedence(*step.spec);
+                step.chain = work.chain;
+                step.chain_left = work.chain_left;
                 step.is_starved = job.idle_since && now - *job.idle_since >= starvation_timeout;
                 step.core_seconds_left = work.core_seconds_left;
                 step.objective = occurrence.due_at + work.chain + step.rules.target;
@@ -163,6 +155,7 @@
         instance.is_reserved = false;
     }
     unplaceable_fillers.clear();
+    begin_rack_pass();
     release_void_reservations();
     std::vector<ready_step> without_capacity;
     const auto steps = collect_ready_steps();
@@ -228,19 +221,11 @@
 }
 
 bool coordinator::state::place_step(const ready_step& step) {
-    placement_context context;
-    context.now = time.now();
-    context.evacuated = &evacuated_domains;
-    if (step.rules.requires_permit) {
-        context.permits = &permits_by_step[step.key].tickets();
-    }
-    context.interference = &interference;
-    context.fillers = config.fillers;
-    context.crashes = config.crashes;
-    context.reservations = &reservations;
-    context.pause_after_refusal = config.long_running.pause_after_refusal;
+    auto context = make_context(step);
     place_reserved_tasks(step);
+    rack_id rack = rack_to_wait_for(step);
     for (const auto index : step.waiting) {
+        context.rack = {};
         const auto& task = jobs.at(step.key.job)
                                .occurrences[step.key.occurrence]
                                .steps[step.key.step]
@@ -258,15 +243,17 @@
             }
             continue;
         }
+        context.rack = rack;
         const bool is_waiting_too_long =
             step.spec->is_long_running && task.run > run_number(0) &&
             context.now - task.without_run_since.value_or(task.phase_since) >= starvation_timeout;
         context.checks_capacity_only =
             is_waiting_too_long || (step.is_starved && index == step.waiting.front());
-        const auto instance = choose_instance(instances, step, context);
+        const auto instance = choose_instance_near_rack(step, index, context);
+        rack = context.rack;
         if (!instance) {
             if (step.spec->is_filler && !context.checks_capacity_only &&
-                context.permits == nullptr) {
+                context.permits == nullptr && rack.empty()) {
                 unplaceable_fillers.try_emplace({step.spec->image, step.reserves_slack},
                                                 step.spec->demand.processors.value());
             }
@@ -287,6 +274,7 @@
     std::optional<std::size_t> largest;
     for (std::size_t i = 0; i < instances.size(); ++i) {
         if (accepts_starts(instances[i], context) && is_eligible(*instances[i].executor, step) &&
+            is_on_rack(*instances[i].executor, context) &&
             has_permit(*instances[i].executor, context) &&
             !instances[i].health.is_quarantined(context.now) &&
             (!largest || instances[i].free().processors > instances[*largest].free().processors)) {
@@ -298,58 +286,6 @@
     }
 }
 
-// Places all members or none: the trial assignments are undone, then made for good if all members
-// fit.
-bool coordinator::state::place_gang(const ready_step& step) {
-    auto& tasks = jobs.at(step.key.job).occurrences[step.key.occurrence].steps[step.key.step].tasks;
-    if (step.waiting.size() != tasks.size()) {
-        return false;
-    }
-    run_number run;
-    for (const auto& task : tasks) {
-        run = std::max(run, task.run);
-    }
-    placement_context context;
-    context.now = time.now();
-    context.evacuated = &evacuated_domains;
-    context.interference = &interference;
-    context.fillers = config.fillers;
-    context.crashes = config.crashes;
-    context.reservations = &reservations;
-    if (step.rules.requires_permit) {
-        context.permits = &permits_by_step[step.key].tickets();
-    }
-    std::vector<std::size_t> chosen;
-    for (const auto index : step.waiting) {
-        const auto instance = choose_instance(instances, step, context);
-        if (!instance) {
-            break;
-        }
-        chosen.push_back(*instance);
-        const task_key key{step.key.job, step.key.occurrence, step.key.step, index};
-        tasks[index].phase = task_phase::placed;
-        assign(key, tasks[index], *instance);
-    }
-    for (std::size_t i = 0; i < chosen.size(); ++i) {
-        const auto index = step.waiting[i];
-        const task_key key{step.key.job, step.key.occurrence, step.key.step, index};
-        unassign(key, tasks[index]);
-        tasks[index].phase = task_phase::waiting;
-    }
-    if (chosen.size() != tasks.size()) {
-        return false;
-    }
-    const std::string checkpoint = newest_checkpoint(tasks);
-    for (auto& task : tasks) {
-        task.run = run;
-        task.checkpoint = checkpoint;
-    }
-    for (std::size_t i = 0; i < chosen.size(); ++i) {
-        place_task(step, step.waiting[i], chosen[i]);
-    }
-    return true;
-}
-
 void coordinator::state::place_task(const ready_step& step, std::uint32_t index,
                                     std::size_t instance) {
     const task_key key{step.key.job, step.key.occurrence, step.key.step, index};
@@ -359,6 +295,7 @@
     task.phase = task_phase::placed;
     task.run = task.run.next();
     task.phase_since = time.now();
+    task.sent_at.reset();
     assign(key, task, instance);
     auto& target = instances[instance];
     task.incarnation = target.executor->incarnation;
@@ -368,6 +305,7 @@
     if (task.crashes.suspected > 0) {
         target.last_suspect_at = time.now();
     }
+    record_rack_start(step, key, instance);
     check_invariant(target.committed.fits_in(target.executor->capacity),
                     "placement overcommits " + target.name.value() + ": " +
                         to_string(target.committed) + " of " +
--- a/libs/dispatch/tests/world.hpp
+++ b/libs/dispatch/tests/world.hpp
@@ -31,6 +31,9 @@
     bool has_fair_shares = true;
     // All have default_rules().
     std::set<queue_id> queues{queue_id("queue")};
+    // Runs off the preferred rack take `off_rack_factor` times as long. Instances are in the racks
+    // "rack-0" and "rack-1" in turn.
+    delay_rules delays{};
 };
 
 // Random faults; probabilities per second unless stated otherwise.
@@ -121,6 +124,9 @@
     [[nodiscard]] const std::vector<task_key>& preempted() const;
     // The longest waits reported so far, by what the task waited for.
     [[nodiscard]] const std::map<std::string, milliseconds>& reported_waits() const;
+    // Number of waits for a rack that were decided, and of moves back to a rack.
+    [[nodiscard]] std::size_t locality_waits() const;
+    [[nodiscard]] std::size_t locality_moves() const;
     // Number of executors that the task has crashed.
     [[nodiscard]] std::uint32_t crashes_by(const task_key& task) const;
     // Number of executors that crashed, for whatever cause, while they had the task.
--- a/libs/dispatch_node/include/tanagerpaddle/dispatch_node.hpp
+++ b/libs/dispatch_node/include/tanagerpaddle/dispatch_node.hpp
@@ -213,6 +213,8 @@
     bool uses_measured_run_times = true;
     // Jobs that could only be served too late are refused; see decide_admission.
     bool refuses_overload = false;
+    // Waits for racks; a factor of 1 turns them off.
+    delay_rules delays{};
 };
 
 struct entry_options {
--- a/libs/dispatch_node/src/owner_session.hpp
+++ b/libs/dispatch_node/src/owner_session.hpp
@@ -72,6 +72,9 @@
     void report_preemption(const instance_name& instance, const task_key& task,
                            const std::vector<task_key>& stopped) override;
     void report_waiting_task(const waiting_task& waiting) override;
+    void report_locality_wait(const locality_wait& wait) override;
+    void report_locality_move(const task_key& task, const rack_id& rack) override;
+    void report_locality_start(milliseconds waited, bool is_on_rack) override;
 
 private:
     using json = messages::json;
