dispatch: throttled fillers without checkpoints restart where they run at full speed

Cause: a filler without checkpoints that had done more than 15% of its work was never moved. Change: the owner keeps the speed of each filler's run as measured. One that has been below 30% for 2 s is moved although it loses its progress, if a restart elsewhere ends sooner by a factor of 1.5, at most once in 4 s and three times per task (filler_relief).

--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -541,6 +541,9 @@
     // the number of serving tasks at their peak grows with the number of instances.
     double moves_per_instance = 1;
     std::size_t min_moves = 4;
+    // Throttled fillers are relieved also where that costs them their progress; see
+    // docs/design/filler-relief.md.
+    bool relieves_throttled = true;
 };
 
 // Decides what runs where for all jobs of a system. The caller ensures that only one process at a
--- a/libs/dispatch/src/coordinator.cpp
+++ b/libs/dispatch/src/coordinator.cpp
@@ -351,6 +351,7 @@
         auto* task = state_->find_task(run.task);
         state_->mark_begun(run.task, *task);
         state_->record_checkpoint(run.task, *task, run.checkpoint);
+        state_->record_speed(run.task, *task, run.measurement);
         if (run.percent != task->percent) {
             task->percent = run.percent;
             task->progressed_at = state_->time.now();
--- a/libs/dispatch/src/coordinator_state.hpp
+++ b/libs/dispatch/src/coordinator_state.hpp
@@ -7,6 +7,7 @@
 #include <unordered_set>
 
 #include "crashes.hpp"
+#include "filler_relief.hpp"
 #include "permits.hpp"
 #include "placement.hpp"
 #include "tanagerpaddle/dispatch.hpp"
@@ -50,6 +51,8 @@
     std::uint32_t orphaned_runs = 0;
     std::optional<std::size_t> orphan_instance;
     crash_history crashes;
+    filler_speed speed;
+    relief_history relief;
 
     [[nodiscard]] bool occupies_instance() const noexcept {
         return phase != task_phase::waiting && phase != task_phase::succeeded;
@@ -284,6 +287,8 @@
     void expire_instances();
     void place_ready_steps();
     void move_throttled_fillers();
+    // Records the speed of a filler that a report lists.
+    void record_speed(const task_key& key, task_state& task, std::int64_t millicores_used) const;
     [[nodiscard]] bool should_move(const task_key& key, const task_state& task,
                                    instance_state& instance);
     void stop_stalled_tasks();
--- /dev/null
+++ b/libs/dispatch/src/filler_relief.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+// Decisions that relieve fillers which are throttled beside serving tasks. Pure: they read no clock
+// and give no orders.
+
+#include <cstdint>
+#include <optional>
+
+#include "tanagerpaddle/dispatch.hpp"
+
+namespace tanagerpaddle::dispatch {
+
+// Measured speed of a filler's run, as a share of full speed.
+struct filler_speed {
+    int percent = 100;
+    // Since when it has been throttled without interruption.
+    std::optional<instant> throttled_since;
+
+    void record(std::int64_t millicores_used, std::int64_t demand_millicores, instant now);
+    // True if it has been throttled for so long that the next measurements will not end it.
+    [[nodiscard]] bool is_throttled(instant now) const noexcept;
+};
+
+// True if a run that restarts at full speed will end before the throttled run does at its measured
+// speed. Both take a share of the same run time, which need not be known.
+[[nodiscard]] bool gains_by_restart(const filler_speed& speed, int done_percent) noexcept;
+
+// Moves of a filler; in memory of the owner only.
+struct relief_history {
+    int moves = 0;
+    instant moved_at{};
+
+    [[nodiscard]] bool allows_move(instant now) const noexcept;
+    void record_move(instant now) noexcept;
+};
+
+}  // namespace tanagerpaddle::dispatch
--- a/libs/dispatch/src/planning.cpp
+++ b/libs/dispatch/src/planning.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "coordinator_state.hpp"
+#include "filler_relief.hpp"
 
 namespace tanagerpaddle::dispatch {
 
@@ -475,12 +476,21 @@
             const auto target = choose_instance(instances, step, context);
             if (target && *target != i) {
                 ++moves;
+                task.relief.record_move(context.now);
                 stop_task(key, task);
             }
         }
     }
 }
 
+void coordinator::state::record_speed(const task_key& key, task_state& task,
+                                      std::int64_t millicores_used) const {
+    const auto& spec = spec_of(key);
+    if (spec.is_filler) {
+        task.speed.record(millicores_used, spec.demand.processors.value(), time.now());
+    }
+}
+
 bool coordinator::state::should_move(const task_key& key, const task_state& task,
                                      instance_state& instance) {
     const auto& spec = spec_of(key);
@@ -488,7 +498,9 @@
     return spec.is_filler && !spec.is_gang && !rules.requires_permit &&
            task.phase == task_phase::running &&
            time.now() - task.phase_since >= min_run_time_before_move &&
-           (spec.writes_checkpoints || task.percent <= max_lost_progress_percent) &&
+           (spec.writes_checkpoints || task.percent <= max_lost_progress_percent ||
+            (config.fillers.relieves_throttled && task.speed.is_throttled(time.now()) &&
+             task.relief.allows_move(time.now()) && gains_by_restart(task.speed, task.percent))) &&
            min_slack(instance, interference, spec.image, 0) < 0;
 }
 
--- a/libs/dispatch/src/task_lifecycle.cpp
+++ b/libs/dispatch/src/task_lifecycle.cpp
@@ -90,6 +90,7 @@
     task.phase = task_phase::waiting;
     task.phase_since = time.now();
     task.percent = 0;
+    task.speed = {};
     task.has_begun = false;
     task.incarnation = executor_incarnation(0);
     mark_open_job_dirty(key);
