dispatch, platform: setting, log event and counter of filler relief; tests of its failures

Cause: an operator could neither see nor switch off the moves of throttled fillers. Change: scheduling.filler_relief (default true) reaches the coordinator through entry_options. Each move is logged as filler_stopped and counted in tanagerpaddle_tasks_evicted_total with the reason filler_relief. The simulated system can report measurements of an instance.

--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -437,6 +437,17 @@
     std::vector<suspect> suspects;
 };
 
+// A throttled filler that is about to be stopped because another instance can run it.
+struct filler_stop {
+    instance_name instance;
+    task_key task;
+    run_number run;
+    // Measured speed in percent of full speed.
+    int speed_percent = 0;
+    // Expected time saved, in percent of the task's run time.
+    int gain_percent = 0;
+};
+
 // Orders that leave the coordinator.
 class coordinator_orders {
 public:
@@ -461,6 +472,8 @@
     // For the log only: a run is about to be stopped because it has made no progress.
     virtual void report_stall(const instance_name& /*instance*/, const task_key& /*task*/,
                               run_number /*run*/, milliseconds /*without_progress*/) {}
+    // For the log and metrics only.
+    virtual void report_filler_stopped(const filler_stop& /*stop*/) {}
     // For the log only: a checkpoint of `bytes` exceeds `max_checkpoint_bytes`. It is left out of
     // the row, so that a task restarts from its beginning after a change of the owner. Reported
     // once for each task.
--- a/libs/dispatch/src/coordinator_state.hpp
+++ b/libs/dispatch/src/coordinator_state.hpp
@@ -282,15 +282,17 @@
                                                         placement_context context);
     [[nodiscard]] bool is_quiet(const instance_state& instance) const;
 
-    // --- placement (planning.cpp)
-    void release_due_occurrences();
-    void expire_instances();
-    void place_ready_steps();
+    // --- fillers (filler_moves.cpp)
     void move_throttled_fillers();
     // Records the speed of a filler that a report lists.
     void record_speed(const task_key& key, task_state& task, std::int64_t millicores_used) const;
     [[nodiscard]] bool should_move(const task_key& key, const task_state& task,
                                    instance_state& instance);
+
+    // --- placement (planning.cpp)
+    void release_due_occurrences();
+    void expire_instances();
+    void place_ready_steps();
     void stop_stalled_tasks();
     void record_view(instance_state& instance);
     bool place_step(const ready_step& step);
--- a/libs/dispatch/src/filler_relief.cpp
+++ b/libs/dispatch/src/filler_relief.cpp
@@ -35,6 +35,11 @@
     return throttled_since && now - *throttled_since >= min_throttled_time;
 }
 
+int restart_gain_percent(const filler_speed& speed, int done_percent, int kept_percent) noexcept {
+    return (100 - done_percent) * 100 / std::max(speed.percent, min_speed_percent) -
+           (100 - kept_percent);
+}
+
 bool gains_by_restart(const filler_speed& speed, int done_percent) noexcept {
     return (100 - done_percent) * 100 >
            min_gain_percent * std::max(speed.percent, min_speed_percent);
--- a/libs/dispatch/src/filler_relief.hpp
+++ b/libs/dispatch/src/filler_relief.hpp
@@ -21,6 +21,11 @@
     [[nodiscard]] bool is_throttled(instant now) const noexcept;
 };
 
+// Time by which a restart at full speed ends sooner than the throttled run does at its measured
+// speed, in percent of the task's run time; `kept_percent` of the work is not done again.
+[[nodiscard]] int restart_gain_percent(const filler_speed& speed, int done_percent,
+                                       int kept_percent) noexcept;
+
 // True if a run that restarts at full speed will end before the throttled run does at its measured
 // speed. Both take a share of the same run time, which need not be known.
 [[nodiscard]] bool gains_by_restart(const filler_speed& speed, int done_percent) noexcept;
--- a/libs/dispatch/src/planning.cpp
+++ b/libs/dispatch/src/planning.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 
 #include "coordinator_state.hpp"
-#include "filler_relief.hpp"
 
 namespace tanagerpaddle::dispatch {
 
@@ -23,10 +22,6 @@
 // A job without an assigned task for this long is placed by capacity alone, so that quarantines and
 // interference estimates cannot block it indefinitely.
 constexpr milliseconds starvation_timeout{1'000};
-// A filler without checkpoints is moved only while it has done at most this share of its work.
-constexpr int max_lost_progress_percent = 15;
-// Minimum run time before a move, since a move costs a restart.
-constexpr milliseconds min_run_time_before_move{500};
 
 // Estimated run time of the longest chain of steps; `only_unfinished` skips steps that are done.
 milliseconds longest_chain(const job_spec& spec, const occurrence_state& occurrence,
@@ -445,63 +440,4 @@
     }
 }
 
-// Stops fillers that are throttled to protect serving tasks, if another instance can run them.
-void coordinator::state::move_throttled_fillers() {
-    placement_context context;
-    context.now = time.now();
-    context.evacuated = &evacuated_domains;
-    context.interference = &interference;
-    context.fillers = config.fillers;
-    context.crashes = config.crashes;
-    const auto max_moves = std::max(
-        config.fillers.min_moves, static_cast<std::size_t>(config.fillers.moves_per_instance *
-                                                           static_cast<double>(instances.size())));
-    std::size_t moves = 0;
-    for (std::size_t i = 0; i < instances.size(); ++i) {
-        auto& instance = instances[i];
-        if (!instance.is_linked || !instance.executor || instance.serving_tasks_by_image.empty()) {
-            continue;
-        }
-        context.avoided_instance = i;
-        const std::vector<task_key> keys(instance.tasks.begin(), instance.tasks.end());
-        for (const auto& key : keys) {
-            auto& task = *find_task(key);
-            if (moves >= max_moves || !should_move(key, task, instance)) {
-                continue;
-            }
-            ready_step step;
-            step.key = {key.job, key.occurrence, key.step};
-            step.spec = &spec_of(key);
-            step.rules = find_job(key.job)->submitted.rules;
-            const auto target = choose_instance(instances, step, context);
-            if (target && *target != i) {
-                ++moves;
-                task.relief.record_move(context.now);
-                stop_task(key, task);
-            }
-        }
-    }
-}
-
-void coordinator::state::record_speed(const task_key& key, task_state& task,
-                                      std::int64_t millicores_used) const {
-    const auto& spec = spec_of(key);
-    if (spec.is_filler) {
-        task.speed.record(millicores_used, spec.demand.processors.value(), time.now());
-    }
-}
-
-bool coordinator::state::should_move(const task_key& key, const task_state& task,
-                                     instance_state& instance) {
-    const auto& spec = spec_of(key);
-    const auto& rules = find_job(key.job)->submitted.rules;
-    return spec.is_filler && !spec.is_gang && !rules.requires_permit &&
-           task.phase == task_phase::running &&
-           time.now() - task.phase_since >= min_run_time_before_move &&
-           (spec.writes_checkpoints || task.percent <= max_lost_progress_percent ||
-            (config.fillers.relieves_throttled && task.speed.is_throttled(time.now()) &&
-             task.relief.allows_move(time.now()) && gains_by_restart(task.speed, task.percent))) &&
-           min_slack(instance, interference, spec.image, 0) < 0;
-}
-
 }  // namespace tanagerpaddle::dispatch
--- a/libs/dispatch/tests/world.cpp
+++ b/libs/dispatch/tests/world.cpp
@@ -137,6 +137,7 @@
     instant linked_since;
     instant last_grant;
     bool hangs = false;
+    interference_sample sample;
     // Until then nothing passes between the agent and its executor.
     instant cut_off_until;
     // The executor has answered, and its connection has not been lost since. Leases are extended
@@ -872,9 +873,10 @@
                 }
             }
             view.is_complete = view.finished.size() < options.max_listed_completions;
-            to_coordinator(instance, [n = instance.name, view](coordinator& target) {
-                target.progress_reported(n, view.running, {}, view.is_complete);
-            });
+            to_coordinator(
+                instance, [n = instance.name, view, sample = instance.sample](coordinator& target) {
+                    target.progress_reported(n, view.running, sample, view.is_complete);
+                });
             if (instance.core->executor_view_received(view)) {
                 to_coordinator(instance,
                                [n = instance.name, found = instance.core->current_inventory()](
@@ -1113,6 +1115,10 @@
     state_->instances.at(instance)->hangs = hangs;
 }
 
+void world::measure(std::size_t instance, const interference_sample& sample) {
+    state_->instances.at(instance)->sample = sample;
+}
+
 void world::resize(std::size_t instance, const resources& capacity) {
     state_->change_capacity(instance, capacity, milliseconds(0));
 }
--- a/libs/dispatch/tests/world.hpp
+++ b/libs/dispatch/tests/world.hpp
@@ -90,6 +90,8 @@
     void drain(std::size_t instance);
     // Runs on the instance make no progress until they are stopped.
     void hang(std::size_t instance, bool hangs);
+    // The agent reports this sample from now on. Fillers are reported to use no processors.
+    void measure(std::size_t instance, const interference_sample& sample);
     // The executor has another capacity from now on, and reports it at once.
     void resize(std::size_t instance, const resources& capacity);
     void evacuate(const std::set<failure_domain_id>& domains);
--- a/libs/dispatch_node/include/tanagerpaddle/dispatch_node.hpp
+++ b/libs/dispatch_node/include/tanagerpaddle/dispatch_node.hpp
@@ -217,6 +217,8 @@
     // Time for which the cancellation of a job that is not stored is kept; longer than a submission
     // can be under way.
     milliseconds early_cancellation_lifetime{120'000};
+    // Sets filler_rules::relieves_throttled.
+    bool relieves_fillers = true;
 };
 
 enum class submit_outcome : std::uint8_t {
--- a/libs/dispatch_node/src/entry_node.cpp
+++ b/libs/dispatch_node/src/entry_node.cpp
@@ -63,6 +63,7 @@
         environment.owner = &owner;
         environment.timing = options.timing;
         environment.early_cancellation_lifetime = options.early_cancellation_lifetime;
+        environment.relieves_fillers = options.relieves_fillers;
         session = std::make_shared<owner_session>(
             environment, gained.epoch,
             gained.earlier_grants_end_by + options.timing.expiry_delay());
--- a/libs/dispatch_node/src/owner_session.cpp
+++ b/libs/dispatch_node/src/owner_session.cpp
@@ -52,9 +52,10 @@
     return parts;
 }
 
-coordinator::options coordinator_options(const lease_timing& timing) {
+coordinator::options coordinator_options(const owner_session::environment& env) {
     coordinator::options options;
-    options.timing = timing;
+    options.timing = env.timing;
+    options.fillers.relieves_throttled = env.relieves_fillers;
     return options;
 }
 
@@ -68,7 +69,7 @@
     : env_(env),
       epoch_(epoch),
       unclaimed_runs_end_by_(unclaimed_runs_end_by),
-      coordinator_(coordinator_options(env.timing), *env.time, *this),
+      coordinator_(coordinator_options(env), *env.time, *this),
       early_cancellations_(*env.time, env.early_cancellation_lifetime) {}
 
 // ---------------------------------------------------------------------------------------------
@@ -373,6 +374,16 @@
                {"without_progress_ms", without_progress}});
 }
 
+void owner_session::report_filler_stopped(const filler_stop& stop) {
+    metrics().counter_of(metric::tasks_evicted, {"filler_relief"}).add();
+    log_event(log_level::info, "filler_stopped",
+              {{"task", to_string(stop.task)},
+               {"run", stop.run.value()},
+               {"agent", stop.instance.value()},
+               {"speed_percent", stop.speed_percent},
+               {"gain_percent", stop.gain_percent}});
+}
+
 void owner_session::report_unstored_checkpoint(const task_key& task, std::size_t bytes) {
     log_event(log_level::warning, "checkpoint_not_stored",
               {{"task", to_string(task)}, {"bytes", bytes}});
--- a/libs/dispatch_node/src/owner_session.hpp
+++ b/libs/dispatch_node/src/owner_session.hpp
@@ -37,6 +37,7 @@
         ownership* owner = nullptr;
         lease_timing timing;
         milliseconds early_cancellation_lifetime{0};
+        bool relieves_fillers = true;
     };
 
     // Runs on instances whose agents cannot be claimed have ended by `unclaimed_runs_end_by`.
@@ -63,6 +64,7 @@
     void report_crash(const executor_crash& crash) override;
     void report_stall(const instance_name& instance, const task_key& task, run_number run,
                       milliseconds without_progress) override;
+    void report_filler_stopped(const filler_stop& stop) override;
     void report_unstored_checkpoint(const task_key& task, std::size_t bytes) override;
 
 private:
