dispatch: a throttled filler is stopped beside one whose job earns more

Cause: where the fillers of an instance do not all fit beside its serving tasks, those of jobs that are late anyway were paced like those of jobs that could still be on time, and took their place. Change: in each inspection one filler of an instance is stopped that has been throttled for 2 s, keeps its work, and belongs to the job that earns least, if another filler there belongs to a job of a better lateness rank. It waits until it fits somewhere.

--- a/libs/dispatch/src/coordinator_state.hpp
+++ b/libs/dispatch/src/coordinator_state.hpp
@@ -284,6 +284,10 @@
 
     // --- fillers (filler_moves.cpp)
     void move_throttled_fillers();
+    // Stops a filler of the instance if that lets others run that are worth more.
+    void stop_least_worthy_filler(std::size_t instance);
+    // Stops a filler and reports it.
+    void move_filler(const task_key& key, task_state& task, int kept_percent);
     // Records the speed of a filler that a report lists.
     void record_speed(const task_key& key, task_state& task, std::int64_t millicores_used) const;
     [[nodiscard]] bool should_move(const task_key& key, const task_state& task,
@@ -294,6 +298,7 @@
     void expire_instances();
     void place_ready_steps();
     void stop_stalled_tasks();
+    [[nodiscard]] job_worth worth_of(const job_id& id, std::uint32_t occurrence);
     void record_view(instance_state& instance);
     bool place_step(const ready_step& step);
     bool place_gang(const ready_step& step);
--- a/libs/dispatch/src/filler_moves.cpp
+++ b/libs/dispatch/src/filler_moves.cpp
@@ -46,14 +46,43 @@
             const auto target = choose_instance(instances, step, context);
             if (target && *target != i) {
                 ++moves;
-                task.relief.record_move(context.now);
-                const int kept_percent = step.spec->writes_checkpoints ? task.percent : 0;
-                orders.report_filler_stopped(
-                    {instance.name, key, task.run, task.speed.percent,
-                     restart_gain_percent(task.speed, task.percent, kept_percent)});
-                stop_task(key, task);
+                move_filler(key, task, step.spec->writes_checkpoints ? task.percent : 0);
             }
         }
+        if (config.fillers.relieves_throttled) {
+            stop_least_worthy_filler(i);
+        }
+    }
+}
+
+void coordinator::state::move_filler(const task_key& key, task_state& task, int kept_percent) {
+    task.relief.record_move(time.now());
+    orders.report_filler_stopped({instances[*task.instance].name, key, task.run, task.speed.percent,
+                                  restart_gain_percent(task.speed, task.percent, kept_percent)});
+    stop_task(key, task);
+}
+
+void coordinator::state::stop_least_worthy_filler(std::size_t index) {
+    auto& instance = instances[index];
+    std::vector<relief_candidate> candidates;
+    for (const auto& key : instance.tasks) {
+        const auto& task = *find_task(key);
+        const auto& spec = spec_of(key);
+        if (!spec.is_filler || task.phase != task_phase::running ||
+            min_slack(instance, interference, spec.image, 0) >= 0) {
+            continue;
+        }
+        const bool may_stop = !spec.is_gang && !find_job(key.job)->submitted.rules.requires_permit;
+        const bool keeps_work =
+            !task.checkpoint.empty() || task.percent <= max_lost_progress_percent;
+        candidates.push_back({key, worth_of(key.job, key.occurrence), may_stop && keeps_work,
+                              task.speed, task.relief});
+    }
+    if (const auto chosen = choose_filler_to_stop(candidates, time.now())) {
+        const auto& key = candidates[*chosen].task;
+        auto& task = *find_task(key);
+        task.last_failed_instance = index;
+        move_filler(key, task, task.checkpoint.empty() ? 0 : task.percent);
     }
 }
 
--- a/libs/dispatch/src/filler_relief.cpp
+++ b/libs/dispatch/src/filler_relief.cpp
@@ -1,6 +1,7 @@
 #include "filler_relief.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace tanagerpaddle::dispatch {
 
@@ -54,4 +55,25 @@
     moved_at = now;
 }
 
+std::optional<std::size_t> choose_filler_to_stop(const std::vector<relief_candidate>& candidates,
+                                                 instant now) {
+    const auto order = [](const job_worth& worth) {
+        return std::pair(worth.rank, worth.core_seconds_left);
+    };
+    std::optional<std::size_t> worst;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const auto& filler = candidates[i];
+        if (filler.keeps_work && filler.speed.is_throttled(now) &&
+            filler.history.allows_move(now) &&
+            (!worst || order(candidates[*worst].worth) < order(filler.worth))) {
+            worst = i;
+        }
+    }
+    const bool is_any_better =
+        worst && std::any_of(candidates.begin(), candidates.end(), [&](const auto& other) {
+            return other.worth.rank < candidates[*worst].worth.rank;
+        });
+    return is_any_better ? worst : std::nullopt;
+}
+
 }  // namespace tanagerpaddle::dispatch
--- a/libs/dispatch/src/filler_relief.hpp
+++ b/libs/dispatch/src/filler_relief.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <vector>
 
 #include "tanagerpaddle/dispatch.hpp"
 
@@ -39,4 +40,26 @@
     void record_move(instant now) noexcept;
 };
 
+// What a job can still earn, see lateness_rank, and its estimated remaining work.
+struct job_worth {
+    int rank = 0;
+    double core_seconds_left = 0;
+};
+
+// A running filler of an instance whose fillers do not all fit beside its serving tasks.
+struct relief_candidate {
+    task_key task;
+    job_worth worth;
+    // It loses no progress, or little.
+    bool keeps_work = false;
+    filler_speed speed;
+    relief_history history;
+};
+
+// The filler to stop so that others on the instance run faster while it waits: of those that are
+// throttled, may move and keep their work, the one of the job that earns least, if the others
+// include one of a job that earns more. std::nullopt if there is none.
+[[nodiscard]] std::optional<std::size_t> choose_filler_to_stop(
+    const std::vector<relief_candidate>& candidates, instant now);
+
 }  // namespace tanagerpaddle::dispatch
--- a/libs/dispatch/src/planning.cpp
+++ b/libs/dispatch/src/planning.cpp
@@ -440,4 +440,14 @@
     }
 }
 
+job_worth coordinator::state::worth_of(const job_id& id, std::uint32_t occurrence) {
+    const auto& job = *find_job(id);
+    const auto& spec = job.submitted.spec;
+    const auto& progress = job.occurrences[occurrence];
+    return {
+        lateness_rank(job.submitted.rules, progress.due_at, longest_chain(spec, progress, false),
+                      longest_chain(spec, progress, true), time.now()),
+        core_seconds_left(spec, progress)};
+}
+
 }  // namespace tanagerpaddle::dispatch
--- a/libs/dispatch/tests/filler_relief_test.cpp
+++ b/libs/dispatch/tests/filler_relief_test.cpp
@@ -86,6 +86,29 @@
     CHECK(restart_gain_percent(speed, 60, 60) == 120);
 }
 
+// Guards against stops that only exchange equal jobs, and against lost progress.
+TEST_CASE("the throttled filler of the job that earns least is stopped if a better one is there") {
+    manual_clock time;
+    time.advance(std::chrono::hours(1));
+    filler_speed throttled;
+    throttled.record(100, 1'000, time.now());
+    time.advance(milliseconds(2'000));
+    const relief_candidate on_time{filler, {0, 10}, true, throttled, {}};
+    const relief_candidate late{filler, {1, 10}, true, throttled, {}};
+    const relief_candidate later{filler, {1, 20}, true, throttled, {}};
+    CHECK(choose_filler_to_stop({on_time, late, later}, time.now()) == 2U);
+    CHECK_FALSE(choose_filler_to_stop({late, later}, time.now()).has_value());
+    auto losing = later;
+    losing.keeps_work = false;
+    CHECK(choose_filler_to_stop({on_time, late, losing}, time.now()) == 1U);
+    auto fast = late;
+    fast.speed = {};
+    CHECK_FALSE(choose_filler_to_stop({on_time, fast, losing}, time.now()).has_value());
+    auto moved = late;
+    moved.history.record_move(time.now());
+    CHECK_FALSE(choose_filler_to_stop({on_time, moved}, time.now()).has_value());
+}
+
 // Guards against moves back and forth.
 TEST_CASE("a filler is moved at most once in 4 s and three times in all") {
     manual_clock time;
