--- a/libs/dispatch/src/coordinator.cpp
+++ b/libs/dispatch/src/coordinator.cpp
@@ -372,6 +372,7 @@
         state_->mark_begun(run.task, *task);
         state_->record_checkpoint(run.task, *task, run.checkpoint);
         state_->note_pace(state_->spec_of(run.task), *task, run.measurement);
+        state_->record_speed(run.task, *task, run.measurement);
         if (run.percent != task->percent) {
             task->percent = run.percent;
             task->progressed_at = state_->time.now();
--- a/libs/dispatch/src/coordinator_state.hpp
+++ b/libs/dispatch/src/coordinator_state.hpp
@@ -8,6 +8,7 @@
 
 #include "crashes.hpp"
 #include "delay_scheduling.hpp"
+#include "filler_relief.hpp"
 #include "late_turns.hpp"
 #include "long_running_reservation.hpp"
 #include "permits.hpp"
@@ -70,6 +71,8 @@
     std::optional<instant> without_run_since;
     crash_history crashes;
     run_measurement measurement;
+    filler_speed speed;
+    relief_history relief;
 
     [[nodiscard]] bool occupies_instance() const noexcept {
         return phase != task_phase::waiting && phase != task_phase::succeeded;
@@ -419,13 +422,23 @@
     bool restore_waits(job_state& job, const progress_record& record);
 
     // --- placement (planning.cpp, gang_placement.cpp, stalls.cpp)
-    void release_due_occurrences();
-    void expire_instances();
-    void place_ready_steps();
+    // --- fillers (filler_moves.cpp)
     void move_throttled_fillers();
+    // Stops a filler of the instance if that lets others run that are worth more.
+    void stop_least_worthy_filler(std::size_t instance);
+    // Stops a filler and reports it.
+    void move_filler(const task_key& key, task_state& task, int kept_percent);
+    // Records the speed of a filler that a report lists.
+    void record_speed(const task_key& key, task_state& task, std::int64_t millicores_used) const;
     [[nodiscard]] bool should_move(const task_key& key, const task_state& task,
                                    instance_state& instance);
+
+    // --- placement (planning.cpp)
+    void release_due_occurrences();
+    void expire_instances();
+    void place_ready_steps();
     void stop_stalled_tasks();
+    [[nodiscard]] job_worth worth_of(const job_id& id, std::uint32_t occurrence);
     void record_view(instance_state& instance);
     bool place_step(const ready_step& step);
     void keep_largest_instance(const ready_step& step, const placement_context& context);
--- a/libs/dispatch/src/task_lifecycle.cpp
+++ b/libs/dispatch/src/task_lifecycle.cpp
@@ -97,6 +97,7 @@
     task.phase_since = time.now();
     task.without_run_since = task.without_run_since.value_or(task.phase_since);
     task.percent = 0;
+    task.speed = {};
     task.has_begun = false;
     task.incarnation = executor_incarnation(0);
     mark_open_job_dirty(key);
--- a/libs/dispatch_node/include/tanagerpaddle/dispatch_node.hpp
+++ b/libs/dispatch_node/include/tanagerpaddle/dispatch_node.hpp
@@ -209,6 +209,8 @@
     // Capacity is reserved for long-running tasks that have no run.
     bool has_long_running_reservation = true;
     bool has_shares = true;
+    // Sets filler_rules::relieves_throttled.
+    bool relieves_fillers = true;
     // Jobs are ordered by measured run times.
     bool uses_measured_run_times = true;
     // Jobs that could only be served too late are refused; see decide_admission.
--- a/libs/dispatch_node/src/owner_reports.cpp
+++ b/libs/dispatch_node/src/owner_reports.cpp
@@ -82,4 +82,14 @@
                {"instances", obstacles}});
 }
 
+void owner_session::report_filler_stopped(const filler_stop& stop) {
+    metrics().counter_of(metric::tasks_evicted, {"filler_relief"}).add();
+    log_event(log_level::info, "filler_stopped",
+              {{"task", to_string(stop.task)},
+               {"run", stop.run.value()},
+               {"agent", stop.instance.value()},
+               {"speed_percent", stop.speed_percent},
+               {"gain_percent", stop.gain_percent}});
+}
+
 }  // namespace tanagerpaddle::dispatch
--- a/libs/dispatch_node/src/owner_session.cpp
+++ b/libs/dispatch_node/src/owner_session.cpp
@@ -59,6 +59,7 @@
     options.long_running.is_enabled = scheduling.has_long_running_reservation;
     options.has_fair_shares = scheduling.has_shares;
     options.delays = scheduling.delays;
+    options.fillers.relieves_throttled = scheduling.relieves_fillers;
     options.ordering.uses_measured_run_times = scheduling.uses_measured_run_times;
     return options;
 }
--- a/libs/dispatch_node/src/owner_session.hpp
+++ b/libs/dispatch_node/src/owner_session.hpp
@@ -66,6 +66,7 @@
     void report_crash(const executor_crash& crash) override;
     void report_stall(const instance_name& instance, const task_key& task, run_number run,
                       milliseconds without_progress) override;
+    void report_filler_stopped(const filler_stop& stop) override;
     void report_unstored_checkpoint(const task_key& task, std::size_t bytes) override;
     void report_reservation(const instance_name& instance, const task_key& task,
                             instant until) override;
