--- a/libs/dispatch/src/rack_waits.cpp
+++ b/libs/dispatch/src/rack_waits.cpp
@@ -206,9 +206,9 @@
     std::optional<std::tuple<instant, bool, rack_id>> best;
     for (const auto& rack : racks) {
         auto forecast = forecast_of(rack, context);
-        const auto begins =
-            forecast.reserve(demand_of(*step.spec), step.waiting.size(), expected_run_time(*step.spec),
-                             latest, [&](std::size_t i) { return places_on(i, step, context); });
+        const auto begins = forecast.reserve(
+            demand_of(*step.spec), step.waiting.size(), expected_run_time(*step.spec), latest,
+            [&](std::size_t i) { return places_on(i, step, context); });
         if (begins) {
             const std::tuple found(*begins, rack_waits.wanted_at.contains(rack), rack);
             best = best ? std::min(*best, found) : found;
