--- a/libs/dispatch/src/planning.cpp
+++ b/libs/dispatch/src/planning.cpp
@@ -132,8 +132,9 @@
                 step.due_at = occurrence.due_at;
                 step.rank = rank_of(step, work, now);
                 step.has_precedence = has_precedence(*step.spec);
-                step.chain = work.chain;
-                step.chain_left = work.chain_left;
+                const auto declared = work_of(spec, occurrence, nullptr);
+                step.chain = declared.chain;
+                step.chain_left = declared.chain_left;
                 step.is_starved = job.idle_since && now - *job.idle_since >= starvation_timeout;
                 step.core_seconds_left = work.core_seconds_left;
                 step.objective = occurrence.due_at + work.chain + step.rules.target;
--- a/libs/dispatch/src/rack_waits.cpp
+++ b/libs/dispatch/src/rack_waits.cpp
@@ -53,7 +53,7 @@
 }
 
 milliseconds coordinator::state::expected_run_time(const step_spec& spec) const {
-    return run_time_of(spec, ordering_run_times());
+    return spec.estimate;
 }
 
 // Never in the future: a row may have been written by a clock that is ahead.
