--- a/libs/dispatch/src/coordinator_state.hpp
+++ b/libs/dispatch/src/coordinator_state.hpp
@@ -450,6 +450,9 @@
     [[nodiscard]] bool is_known_unplaceable(const ready_step& step) const;
     // Asks the policy service for more executors if a request is due.
     void request_permits(const ready_step& step);
+    // Rank, remaining work and objective of a step that has its key, rules and due time.
+    void set_estimates(ready_step& step, const job_spec& spec,
+                       const occurrence_state& occurrence) const;
     [[nodiscard]] std::vector<ready_step> collect_ready_steps();
 
     options config;
--- a/libs/dispatch/src/planning.cpp
+++ b/libs/dispatch/src/planning.cpp
@@ -84,6 +84,20 @@
     }
 }
 
+void coordinator::state::set_estimates(ready_step& step, const job_spec& spec,
+                                       const occurrence_state& occurrence) const {
+    const auto work = work_of(spec, occurrence, ordering_run_times());
+    step.rank = rank_of(step, work, time.now());
+    step.core_seconds_left = work.core_seconds_left;
+    step.objective = step.due_at + work.chain + step.rules.target;
+    if (may_wait_for_rack(*step.spec)) {
+        // Measured run times end with their owner, and the next one has to find the same deadline.
+        const auto declared = work_of(spec, occurrence, nullptr);
+        step.chain = declared.chain;
+        step.chain_left = declared.chain_left;
+    }
+}
+
 std::vector<ready_step> coordinator::state::collect_ready_steps() {
     std::vector<ready_step> ready;
     const instant now = time.now();
@@ -124,20 +138,14 @@
                 }
                 step.reserves_slack =
                     now - *progress.waiting_since < config.fillers.max_wait_for_room;
-                const auto work = work_of(spec, occurrence, ordering_run_times());
                 step.key = {id, k, s};
                 step.spec = &spec.steps[s];
                 step.queue = &job.submitted.queue;
                 step.rules = rules->second;
                 step.due_at = occurrence.due_at;
-                step.rank = rank_of(step, work, now);
                 step.has_precedence = has_precedence(*step.spec);
-                const auto declared = work_of(spec, occurrence, nullptr);
-                step.chain = declared.chain;
-                step.chain_left = declared.chain_left;
                 step.is_starved = job.idle_since && now - *job.idle_since >= starvation_timeout;
-                step.core_seconds_left = work.core_seconds_left;
-                step.objective = occurrence.due_at + work.chain + step.rules.target;
+                set_estimates(step, spec, occurrence);
                 ready.push_back(std::move(step));
             }
         }
