dispatch_node: forecasts without queue delays where nothing is refused for overload

The delays of the queues change with each forecast, so that it goes to every entry twice a second, though only the refusal for overload needs them, which is off by default.

--- a/libs/dispatch_node/src/entry_node.cpp
+++ b/libs/dispatch_node/src/entry_node.cpp
@@ -303,8 +303,13 @@
             return;
         }
         auto forecast = session->make_forecast();
-        if (sender.should_send(forecast, now)) {
-            const auto text = messages::dump(messages::encode(forecast));
+        auto shared = forecast;
+        if (!options.scheduling.refuses_overload) {
+            // Only that decision needs the delays of the queues, which change all the time.
+            shared.queues.clear();
+        }
+        if (sender.should_send(shared, now)) {
+            const auto text = messages::dump(messages::encode(shared));
             // A copy: a link that is closed leaves the map.
             const auto entries = connected_entries;
             for (const auto& [link, entry] : entries) {
