--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -950,6 +950,8 @@
     // A start has been sent to the executor and start_answered has not been called for it.
     [[nodiscard]] bool has_open_starts() const noexcept { return !open_starts_.empty(); }
     void start_answered(const task_key& task, run_number run, start_answer answer);
+    // Number of times that a start which is still unresolved has been sent to the executor.
+    [[nodiscard]] int start_attempts(const task_key& task, run_number run) const;
     void stop_answered(const task_key& task, run_number run, bool is_confirmed);
     [[nodiscard]] const std::optional<executor_info>& executor() const noexcept {
         return executor_;
--- a/libs/dispatch/src/agent.cpp
+++ b/libs/dispatch/src/agent.cpp
@@ -262,6 +262,11 @@
                                                               : start_outcome::not_started);
 }
 
+int agent::start_attempts(const task_key& task, run_number run) const {
+    const auto found = pending_starts_.find({task, run});
+    return found == pending_starts_.end() ? 0 : found->second.attempts;
+}
+
 void agent::withdraw_start(const run_key& key) {
     pending_starts_.erase(key);
     auto& state = pending_stops_[key];
--- a/libs/dispatch_node/src/agent_node.cpp
+++ b/libs/dispatch_node/src/agent_node.cpp
@@ -239,6 +239,8 @@
                       {{"executor", core.executor()->id.value()},
                        {"known_lifetime", core.executor()->incarnation.value()},
                        {"listed_lifetime", view.incarnation.value()},
+                       {"last_answer_ago_ms",
+                        std::chrono::duration_cast<milliseconds>(time.now() - answered_at)},
                        {"running", view.running.size()},
                        {"finished", view.finished.size()}});
         }
@@ -300,6 +302,7 @@
             has_new_completions = false;
             log_completeness(view);
             log_other_life(view);
+            answered_at = now;
             try {
                 if (core.executor_view_received(view)) {
                     send(messages::encode(core.current_inventory(), time.now()));
@@ -348,6 +351,14 @@
         if (!core.executor()) {
             return;
         }
+        if (const auto attempt = core.start_attempts(order.task, order.run); attempt > 1) {
+            log_event(log_level::info, "start_repeated",
+                      {{"task", to_string(order.task)},
+                       {"run", order.run.value()},
+                       {"attempt", attempt},
+                       {"last_answer_ago_ms",
+                        std::chrono::duration_cast<milliseconds>(time.now() - answered_at)}});
+        }
         executor.start(
             order, core.executor()->id, epoch, lease_until(),
             [self = shared_from_this(), task = order.task, run = order.run](start_answer answer) {
@@ -422,6 +433,8 @@
     run_progress reported_progress;
     std::int64_t executor_clock_ms = 0;
     instant executor_clock_read_at;
+    // When a sync was last answered.
+    instant answered_at;
     bool has_executor_clock = false;
     bool has_new_completions = false;
     // Number of runs in the latest lists.
--- a/libs/dispatch_node/src/owner_reports.cpp
+++ b/libs/dispatch_node/src/owner_reports.cpp
@@ -15,8 +15,15 @@
 }  // namespace
 
 void owner_session::report_crash(const executor_crash& crash) {
+    const auto agent = agents_.find(crash.instance);
+    const bool has_connected = agent != agents_.end() && agent->second.last_message_at != instant{};
+    const auto silent = has_connected ? env_.time->now() - agent->second.last_message_at
+                                     : env_.time->now() - gained_at_;
     log_event(log_level::warning, crash.is_unreachable ? "executor_expired" : "executor_crashed",
-              {{"agent", crash.instance.value()}, {"suspects", crash.suspects.size()}});
+              {{"agent", crash.instance.value()},
+               {"suspects", crash.suspects.size()},
+               {"has_connected", has_connected},
+               {"silent_ms", std::chrono::duration_cast<milliseconds>(silent)}});
     for (const auto& suspect : crash.suspects) {
         log_event(log_level::warning, suspect.has_failed ? "task_given_up" : "task_suspected",
                   {{"task", to_string(suspect.task)},
--- a/libs/dispatch_node/src/owner_session.cpp
+++ b/libs/dispatch_node/src/owner_session.cpp
@@ -73,6 +73,7 @@
 owner_session::owner_session(environment env, epoch_number epoch, instant unclaimed_runs_end_by)
     : env_(env),
       epoch_(epoch),
+      gained_at_(env.time->now()),
       unclaimed_runs_end_by_(unclaimed_runs_end_by),
       coordinator_(coordinator_options(env.timing, env.scheduling), *env.time, *this),
       early_cancellations_(*env.time, env.early_cancellation_lifetime) {}
--- a/libs/dispatch_node/src/owner_session.hpp
+++ b/libs/dispatch_node/src/owner_session.hpp
@@ -133,6 +133,7 @@
 
     environment env_;
     epoch_number epoch_;
+    instant gained_at_;
     instant unclaimed_runs_end_by_;
     coordinator coordinator_;
     early_cancellations early_cancellations_;
