dispatch: runs that no executor has listed count as alive for the longest lease

Cause: a start without an answer was sent again at once, and any start may reach the executor that has taken the place of the intended one under its id. It carries a time by another clock, so that the lease is the longest, 6 s with a slow clock. Unless the agent told of the restart, its owner counted the granted lease, 4.79 s after the last grant. Ruled out: late orders (the record says none was), leases that the agent extends further (a look without an answer carries no time from then on), a lapse later than 2% (the overlap fits 6 s). Change: agents send a start again only after lists, and never later than 2 s after the grant before its order; owners start nothing that a write older than 3 s has made durable. From these bounds a run that no executor has listed counts as alive for 8.82 s from its order, 6.82 s from a new claim or the end of its executor; rows tell new owners which runs were listed ("l"). An agent that has restarted reports since when its executor refuses earlier calls.

--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -286,11 +286,30 @@
     // Executors shorten longer leases to this. A call that was meant for an earlier executor
     // carries a time of another clock and may extend the leases by as much.
     milliseconds max_lease{6'000};
-
-    // Time after the last grant at which no run of an unreachable instance is still alive.
+    // An agent calls its executor for a start only within this time after it sent the heartbeat
+    // that the latest grant before the order answers. As grants and orders arrive in the order in
+    // which they were sent, the call is made within this time after the order was sent.
+    milliseconds max_start_delay{2'000};
+    // A call to an executor is abandoned before this time has passed.
+    milliseconds max_call_time{500};
+    // A coordinator sends starts only within this time after it sent the write that makes them
+    // durable. The store answers within 1.3 s, or refuses, also when it is slow.
+    milliseconds max_start_write_age{3'000};
+
+    // Time after the last grant at which no run of an unreachable instance is still alive that its
+    // executor has listed.
     [[nodiscard]] milliseconds expiry_delay() const { return time_to_end(lease_duration); }
-    // The same after the last call that may carry a time of another clock.
+    // The same after the last call that may carry a time of another clock, ...
     [[nodiscard]] milliseconds max_expiry_delay() const { return time_to_end(max_lease); }
+    // ... after the agent has ceased to make such calls, ...
+    [[nodiscard]] milliseconds call_expiry_delay() const {
+        return max_call_time + max_expiry_delay();
+    }
+    // ... and after the order of a start that no executor has listed. Another incarnation may have
+    // taken it, unnoticed by the agent, and holds it for the longest lease.
+    [[nodiscard]] milliseconds start_expiry_delay() const {
+        return max_start_delay + call_expiry_delay();
+    }
 
 private:
     // Upper bound of the time in which all runs end that have a lease of that duration.
@@ -301,6 +320,13 @@
     }
 };
 
+// When runs on instances whose agents a new owner has not claimed have ended.
+struct run_ends {
+    // Runs that their executor has listed, and those that it has not.
+    instant listed;
+    instant unlisted;
+};
+
 // ---------------------------------------------------------------------------------------------
 // Interference
 
@@ -737,11 +763,14 @@
     void add_job(const submitted_job& job, milliseconds age);
     // Restores a progress row that an earlier owner wrote; call it after add_job of its job, for
     // the rows of a job in any order. Tasks that the row places on an instance stay assigned to it
-    // until the instance's inventory resolves their state or `expires_at` has passed. Returns false
+    // until the instance's inventory resolves their state or `ends_by` has passed. Returns false
     // if the row cannot be read or the job has no such row, which is then ignored, or if it lists a
     // task twice or one that does not belong to it: these entries are ignored. A first row that
     // lists tasks of other rows was written by an earlier version; these count unless their own row
     // is restored.
+    bool restore(const job_id& job, std::string_view row, const run_ends& ends_by,
+                 std::uint32_t number = 0);
+    // The same with one time for all runs.
     bool restore(const job_id& job, std::string_view row, instant expires_at,
                  std::uint32_t number = 0);
     // A job that is added later counts as cancelled as well, unless forget_cancellation is called
@@ -759,10 +788,12 @@
     // The agent of `instance` now accepts orders of this coordinator; `found` is its inventory.
     // Called again for each further inventory, such as after the end of an executor. Runs on an
     // instance without a known executor end at the latest one expiry_delay after the first, or one
-    // max_expiry_delay after the end of an executor whose calls the next one may take.
+    // call_expiry_delay if no executor has listed them or one has ended whose calls the next one
+    // may take.
     void instance_claimed(const instance_name& instance, const inventory& found);
     // The link to the agent is closed. Its runs count as running until `expires_at`, or until the
-    // earlier time at which those of an instance without a known executor end.
+    // earlier time at which those of an instance without a known executor end; those that no
+    // executor has listed at least until one start_expiry_delay after their order.
     void instance_disconnected(const instance_name& instance, instant expires_at);
     // True if the instance's executor is known. An agent without one must get no grants: the runs
     // that an earlier owner started there count as ended when the earlier grants expire.
@@ -904,7 +935,7 @@
 
 class agent {
 public:
-    agent(const clock& time, agent_orders& orders);
+    agent(const clock& time, agent_orders& orders, const lease_timing& timing = {});
 
     // --- coordinator ---------------------------------------------------------------------------
     // A coordinator claims this agent. Returns false if a later one already has.
@@ -980,6 +1011,8 @@
         start_order order;
         // When the order was last sent, or held.
         instant sent_at;
+        // A start is not sent to the executor after that; see lease_timing::max_start_delay.
+        instant start_until;
         // 0 for a start that is held until the next lists.
         int attempts = 0;
         // This stop withdraws a start that was not answered.
@@ -1000,6 +1033,8 @@
     void update_pace();
     // True if the executor that the order is meant for may start a task now.
     [[nodiscard]] bool accepts(const start_order& order) const;
+    // True if the start may be sent to the executor now, for the first time or again.
+    [[nodiscard]] bool may_send(const order_state& state) const;
     // True if the executor's capacity is smaller than the one that the order was sent by.
     [[nodiscard]] bool has_shrunk_since(const start_order& order) const;
     void send_start(const run_key& key, order_state& state);
@@ -1016,6 +1051,7 @@
 
     const clock& time_;
     agent_orders& orders_;
+    lease_timing timing_;
     epoch_number epoch_;
     instant granted_until_;
     // The incarnation that the executor's lists name, and its report. Before any lists were read,
--- a/libs/dispatch/src/agent.cpp
+++ b/libs/dispatch/src/agent.cpp
@@ -21,7 +21,8 @@
 
 }  // namespace
 
-agent::agent(const clock& time, agent_orders& orders) : time_(time), orders_(orders) {}
+agent::agent(const clock& time, agent_orders& orders, const lease_timing& timing)
+    : time_(time), orders_(orders), timing_(timing) {}
 
 // ---------------------------------------------------------------------------------------------
 // Coordinator
@@ -50,7 +51,8 @@
         found.ended->unsettled = unsettled_runs();
     }
     found.is_vacant = is_vacant_;
-    if (last_end_) {
+    // An earlier process of this agent may have called an executor before the listed one.
+    if (last_end_ || refuses_earlier_calls_since_) {
         found.earlier = {refuses_earlier_calls_since_};
     }
     if (!has_view_) {
@@ -75,11 +77,17 @@
     return order.capacity && !order.capacity->fits_in(executor_->capacity);
 }
 
+bool agent::may_send(const order_state& state) const {
+    return state.attempts < max_start_attempts && accepts(state.order) &&
+           !has_shrunk_since(state.order) && time_.now() < state.start_until;
+}
+
 void agent::start(const start_order& order, epoch_number epoch) {
     if (epoch != epoch_) {
         return;
     }
-    if (!accepts(order)) {
+    const instant start_until = granted_until_ - timing_.lease_duration + timing_.max_start_delay;
+    if (!accepts(order) || time_.now() >= start_until) {
         orders_.report_start(order.task, order.run, start_outcome::not_started);
         return;
     }
@@ -92,6 +100,7 @@
     const run_key key{order.task, order.run};
     auto& state = pending_starts_[key];
     state.order = order;
+    state.start_until = start_until;
     traits_[order.task] = order.traits;
     if (is_in_doubt_) {
         state.sent_at = time_.now();
@@ -166,7 +175,7 @@
     }
 }
 
-// Starts that were ordered, or not answered, while it was unknown which executor listens.
+// Starts that were ordered while it was unknown which executor listens, or that were not answered.
 void agent::send_held_starts() {
     std::vector<run_key> held;
     for (const auto& [key, state] : pending_starts_) {
@@ -176,8 +185,7 @@
     }
     for (const auto& key : held) {
         auto& state = pending_starts_.at(key);
-        if (state.attempts < max_start_attempts && accepts(state.order) &&
-            !has_shrunk_since(state.order)) {
+        if (may_send(state)) {
             send_start(key, state);
         } else if (state.attempts > 0) {
             withdraw_start(key);
@@ -239,14 +247,8 @@
         orders_.report_start(task, run, start_outcome::started);
         return;
     }
-    if (answer == start_answer::no_answer && is_in_doubt_) {
-        return;  // held until the next lists
-    }
-    // Checked again, since the agent may have been suspended, or the executor may have begun to
-    // drain or have shrunk while the answer was awaited.
-    if (answer == start_answer::no_answer && state.attempts < max_start_attempts &&
-        accepts(state.order) && !has_shrunk_since(state.order)) {
-        send_start(key, state);
+    // Held until the next lists: another executor may listen by now, and would take a repetition.
+    if (answer == start_answer::no_answer && (is_in_doubt_ || may_send(state))) {
         return;
     }
     if (answer == start_answer::no_answer || state.attempts > 1) {
--- a/libs/dispatch/src/coordinator.cpp
+++ b/libs/dispatch/src/coordinator.cpp
@@ -179,6 +179,7 @@
     // The agent takes no grants of earlier owners any more, and this one grants nothing to an agent
     // without an executor.
     state_->record_earlier_calls(instance, found);
+    state_->limit_unlisted_runs(instance, found);
     const instant granted_runs_end_by = state_->time.now() + state_->config.timing.expiry_delay();
     const bool has_grants = instance.is_linked && instance.executor;
     instance.expires_at =
@@ -215,21 +216,61 @@
     }
 }
 
-void coordinator::state::record_earlier_calls(instance_state& instance,
-                                              const inventory& found) const {
+// True if starts were ordered, or runs listed, for the executor before.
+bool coordinator::state::has_used_executor(const instance_state& instance,
+                                           executor_incarnation incarnation) {
+    if (instance.executor && instance.executor->incarnation == incarnation) {
+        return true;
+    }
+    return std::any_of(instance.tasks.begin(), instance.tasks.end(), [&](const task_key& key) {
+        return find_task(key)->incarnation == incarnation;
+    });
+}
+
+void coordinator::state::record_earlier_calls(instance_state& instance, const inventory& found) {
     if (!found.earlier) {
         return;
     }
     const auto refused_since = found.earlier->refused_since;
-    if (refused_since) {
+    // An agent that has restarted knows of no ended executor, and not since when the one that was
+    // in use before refuses the calls.
+    const bool is_known =
+        !found.ended && found.executor && has_used_executor(instance, found.executor->incarnation);
+    if (refused_since && !is_known) {
         instance.earlier_leases_end_by = *refused_since + config.timing.max_expiry_delay();
-    } else if (!instance.may_take_earlier_calls) {
+    } else if (!refused_since && !instance.may_take_earlier_calls) {
         // Not counted again from each inventory, so that frequent claims do not keep tasks waiting.
-        instance.earlier_leases_end_by = time.now() + config.timing.max_expiry_delay();
+        instance.earlier_leases_end_by = time.now() + last_calls_expiry_delay(found);
     }
     instance.may_take_earlier_calls = !refused_since;
 }
 
+// An agent whose executor refuses connections has no call on its way.
+milliseconds coordinator::state::last_calls_expiry_delay(const inventory& found) const {
+    return found.is_vacant ? config.timing.max_expiry_delay() : config.timing.call_expiry_delay();
+}
+
+// From then on the agent makes no calls for starts that were ordered on earlier links, or for an
+// executor that has ended. The executor refuses those of earlier claims since it was first read.
+void coordinator::state::limit_unlisted_runs(const instance_state& instance,
+                                             const inventory& found) {
+    const instant limit = time.now() + last_calls_expiry_delay(found);
+    const instant refused_since =
+        found.earlier ? found.earlier->refused_since.value_or(instant{}) : instant{};
+    for (const auto& key : instance.tasks) {
+        auto& task = *find_task(key);
+        const bool is_of_earlier_executor =
+            found.ended && task.incarnation <= found.ended->incarnation;
+        if (!instance.is_linked || is_of_earlier_executor) {
+            task.unlisted_until = std::min(task.unlisted_until, limit);
+        }
+        if (task.started_at <= refused_since) {
+            task.unlisted_until =
+                std::min(task.unlisted_until, refused_since + config.timing.max_expiry_delay());
+        }
+    }
+}
+
 void coordinator::instance_disconnected(const instance_name& name, instant expires_at) {
     const auto index = state_->instance_index(name);
     auto& instance = state_->instances[index];
@@ -369,6 +410,7 @@
             continue;
         }
         auto* task = state_->find_task(run.task);
+        state_->mark_listed(run.task, *task);
         state_->mark_begun(run.task, *task);
         state_->record_checkpoint(run.task, *task, run.checkpoint);
         state_->note_pace(state_->spec_of(run.task), *task, run.measurement);
--- a/libs/dispatch/src/coordinator_state.hpp
+++ b/libs/dispatch/src/coordinator_state.hpp
@@ -64,6 +64,11 @@
     bool has_begun = false;
     // When this coordinator sent the start of the current run; unset if an earlier one did.
     std::optional<instant> sent_at;
+    // The known executor has listed the current run.
+    bool is_listed = false;
+    // Until then a run that is not listed may last whatever was granted: its executor may be one
+    // that nobody has noticed.
+    instant unlisted_until{};
     // Runs other than the current one that are being stopped, and the instance of the newest.
     std::uint32_t orphaned_runs = 0;
     std::optional<std::size_t> orphan_instance;
@@ -178,6 +183,8 @@
     job_phase phase = job_phase::pending;
     std::vector<history> histories;
     std::vector<std::array<std::uint32_t, 3>> succeeded;
+    // Tasks in `histories` whose runs their executors have listed.
+    std::set<std::array<std::uint32_t, 3>> listed;
     // The executors that the instances in `histories` had.
     std::map<instance_name, executor_incarnation> executors;
     // What later owners need to go on with waits for racks: when steps have ended, and until when
@@ -308,9 +315,9 @@
     static void drop_writes(job_state& job);
     void clear_row(job_state& job, std::uint32_t row);
     [[nodiscard]] bool restore_entries(job_state& job, const progress_record& record,
-                                       std::uint32_t row, instant expires_at);
+                                       std::uint32_t row, const run_ends& ends_by);
     void restore_history(const task_key& key, task_state& task, const progress_record& record,
-                         const progress_record::history& entry, instant expires_at);
+                         const progress_record::history& entry, const run_ends& ends_by);
     [[nodiscard]] std::vector<progress_row> next_group(const job_state& job) const;
     // Adds the job's next rows to a write; false if some are left for a later one.
     bool add_rows(job_state& job, std::vector<progress_row>& rows, std::size_t& bytes);
@@ -321,7 +328,17 @@
     // All changes of an instance's executor, so that the capacity of its service is known.
     void set_executor(instance_state& instance, const std::optional<executor_info>& executor);
     // Until when leases may last by calls that were meant for an earlier executor.
-    void record_earlier_calls(instance_state& instance, const inventory& found) const;
+    void record_earlier_calls(instance_state& instance, const inventory& found);
+    [[nodiscard]] bool has_used_executor(const instance_state& instance,
+                                         executor_incarnation incarnation);
+    // Shortens the time for which runs may last that no executor has listed, by what an inventory
+    // tells; call it before the instance counts as linked.
+    void limit_unlisted_runs(const instance_state& instance, const inventory& found);
+    // Time after which leases have ended that calls have extended which were on their way when the
+    // agent sent the inventory.
+    [[nodiscard]] milliseconds last_calls_expiry_delay(const inventory& found) const;
+    // The executor that the instance is known to have lists the task's current run.
+    void mark_listed(const task_key& key, task_state& task);
 
     // --- crashes (crashes.cpp)
     void remove_executor(std::size_t instance, const std::vector<run_age>& ages = {},
@@ -349,8 +366,8 @@
     // --- capacity for long-running tasks (long_running.cpp)
     // True if tasks of the step go before others of their priority.
     [[nodiscard]] bool has_precedence(const step_spec& spec) const;
-    // The runs of an instance that is not reachable ended at some time since it was last observed.
-    void record_unreachable_runs(const instance_state& instance);
+    // Runs on an instance that is not reachable ended at some time since it was last observed.
+    void record_unreachable_runs(const std::vector<task_key>& keys, instant observed_at);
     void release_void_reservations();
     void place_reserved_tasks(const ready_step& step);
     // Reserves instances for tasks of the steps, none of which has found capacity in this pass.
--- a/libs/dispatch/src/crashes.cpp
+++ b/libs/dispatch/src/crashes.cpp
@@ -64,7 +64,7 @@
     set_executor(instance, std::nullopt);
     // No leases are granted until the next executor has reported itself, but it may take a call
     // that was meant for this one.
-    instance.expires_at = time.now() + config.timing.max_expiry_delay();
+    instance.expires_at = time.now() + config.timing.call_expiry_delay();
     if (has_crashed) {
         record_crash(index, std::move(suspects));
     }
@@ -118,16 +118,28 @@
     }
 }
 
-// Requeues the tasks of an executor whose lease has expired. It may have crashed before, which
-// nobody has seen: no run counts as having begun.
+// Requeues the tasks of an executor whose lease has expired, but for those that may be on another
+// incarnation. It may have crashed before, which nobody has seen: no run counts as having begun.
 void coordinator::state::remove_unreachable_executor(std::size_t index) {
     auto& instance = instances[index];
-    const std::vector<task_key> keys(instance.tasks.begin(), instance.tasks.end());
-    auto suspects = collect_suspects(index, keys, {});
+    std::vector<task_key> ended;
+    surviving_runs survivors;
+    std::optional<instant> next_end;
+    for (const auto& key : instance.tasks) {
+        const auto& task = *find_task(key);
+        if (task.is_listed || task.unlisted_until <= time.now()) {
+            ended.push_back(key);
+            continue;
+        }
+        survivors[{key, task.run}] = false;
+        next_end = std::min(next_end.value_or(task.unlisted_until), task.unlisted_until);
+    }
+    auto suspects = collect_suspects(index, ended, {});
     suspects.is_unreachable = true;
-    record_unreachable_runs(instance);
-    clear_instance(index);
+    record_unreachable_runs(ended, instance.observed_at);
+    clear_instance(index, survivors);
     set_executor(instance, std::nullopt);
+    instance.expires_at = next_end.value_or(instance.expires_at);
     for (auto& suspect : suspects.tasks) {
         suspect.has_begun = false;
     }
--- a/libs/dispatch/src/long_running.cpp
+++ b/libs/dispatch/src/long_running.cpp
@@ -75,12 +75,12 @@
     return config.long_running.is_enabled && spec.is_long_running && !spec.is_filler;
 }
 
-void coordinator::state::record_unreachable_runs(const instance_state& instance) {
+void coordinator::state::record_unreachable_runs(const std::vector<task_key>& keys,
+                                                 instant observed_at) {
     const instant now = time.now();
     // An earlier owner may have observed the instance last.
-    const instant ended_at =
-        std::clamp(instance.observed_at, now - config.timing.max_expiry_delay(), now);
-    for (const auto& key : instance.tasks) {
+    const instant ended_at = std::clamp(observed_at, now - config.timing.max_expiry_delay(), now);
+    for (const auto& key : keys) {
         auto& task = *find_task(key);
         task.without_run_since = task.without_run_since.value_or(ended_at);
     }
--- a/libs/dispatch/src/progress.cpp
+++ b/libs/dispatch/src/progress.cpp
@@ -83,7 +83,7 @@
 void coordinator::state::restore_history(const task_key& key, task_state& task,
                                          const progress_record& record,
                                          const progress_record::history& entry,
-                                         instant expires_at) {
+                                         const run_ends& ends_by) {
     task.run = entry.run;
     task.failures = entry.failures;
     task.checkpoint = entry.checkpoint;
@@ -95,10 +95,12 @@
         return;
     }
     const auto instance = instance_index(entry.instance);
-    instances[instance].expires_at = expires_at;
+    instances[instance].expires_at = ends_by.listed;
     task.phase = task_phase::starting;
     task.phase_since = time.now();
     task.started_at = task.phase_since;
+    task.is_listed = record.listed.count({key.occurrence, key.step, key.index}) != 0;
+    task.unlisted_until = ends_by.unlisted;
     if (const auto executor = record.executors.find(entry.instance);
         executor != record.executors.end()) {
         task.incarnation = executor->second;
@@ -107,7 +109,7 @@
 }
 
 bool coordinator::state::restore_entries(job_state& job, const progress_record& record,
-                                         std::uint32_t row, instant expires_at) {
+                                         std::uint32_t row, const run_ends& ends_by) {
     bool is_consistent = true;
     // The task of an entry, unless the entry does not count.
     const auto task_to_restore = [&](const task_key& key) -> task_state* {
@@ -143,7 +145,7 @@
     for (const auto& entry : record.histories) {
         const task_key key{job.submitted.id, entry.occurrence, entry.step, entry.index};
         if (auto* task = task_to_restore(key); task != nullptr) {
-            restore_history(key, *task, record, entry, expires_at);
+            restore_history(key, *task, record, entry, ends_by);
         }
     }
     return is_consistent;
@@ -164,6 +166,11 @@
 
 bool coordinator::restore(const job_id& id, std::string_view value, instant expires_at,
                           std::uint32_t number) {
+    return restore(id, value, run_ends{expires_at, expires_at}, number);
+}
+
+bool coordinator::restore(const job_id& id, std::string_view value, const run_ends& ends_by,
+                          std::uint32_t number) {
     const auto record = decode_progress(value);
     auto* job = state_->find_job(id);
     if (!record || job == nullptr || number >= job->rows.size()) {
@@ -191,7 +198,7 @@
     job->restored_rows.insert(number);
     const bool has_known_steps = state_->restore_waits(*job, *record);
     const bool is_consistent =
-        state_->restore_entries(*job, *record, number, expires_at) && has_known_steps;
+        state_->restore_entries(*job, *record, number, ends_by) && has_known_steps;
     if (shows_begun_run(*record)) {
         state_->mark_started(*job);
     }
@@ -339,6 +346,8 @@
         task->phase_since = time.now();
         task->started_at = task->phase_since;
         task->sent_at = task->phase_since;
+        task->is_listed = false;
+        task->unlisted_until = task->phase_since + config.timing.start_expiry_delay();
         instance.last_start_at = task->phase_since;
         // It may have changed since the placement and still suffice.
         start.order.capacity = instance.executor->capacity;
--- a/libs/dispatch/src/records.cpp
+++ b/libs/dispatch/src/records.cpp
@@ -215,12 +215,13 @@
 
 // The longest entries of a task that has run, with the commas after them:
 // [63999,63,999,run,failures,"instance","checkpoint",crashes,crashes,leases] and
-// "instance":incarnation. A step of its own adds [63999,63,4000000000000] once.
+// "instance":incarnation. A step of its own adds [63999,63,4000000000000] and [63999,63,[999]]
+// once.
 constexpr std::size_t max_number_bytes = 10;
 constexpr std::size_t max_task_bytes =
     sizeof("[63999,63,999,,,\"\",\"\",,,],") + 5 * max_number_bytes + max_instance_name_bytes +
     max_checkpoint_bytes + max_instance_name_bytes + sizeof("\"\":-9223372036854775808,") +
-    sizeof("[63999,63,4000000000000],");
+    sizeof("[63999,63,4000000000000],") + sizeof("[63999,63,[999]],");
 constexpr std::size_t max_progress_row_bytes = 100 + max_tasks_per_row * max_task_bytes;
 static_assert((max_progress_row_bytes + 2) / 3 * 4 <= max_row_bytes);
 // A gang begins a new row unless it fits in what is left of one.
@@ -317,10 +318,12 @@
 
 // {"p": phase, "t": [[occurrence, step, index, run, failures, instance, checkpoint, crashes,
 //  confirmed crashes, expired leases], ...], "e": {instance: incarnation of its executor, ...},
-//  "d": [[occurrence, step, [index, ...]], ...], "s": [[occurrence, step, end of the step], ...],
-//  "w": [[occurrence, step, end of its wait for a rack], ...]}: tasks that have run, and tasks that
-//  succeeded; times are UTC in milliseconds. The crashes are left out if there were none, "s" and
-//  "w" if they are empty. Only the phase of a first row counts.
+//  "d": [[occurrence, step, [index, ...]], ...], "l": likewise,
+//  "s": [[occurrence, step, end of the step], ...],
+//  "w": [[occurrence, step, end of its wait for a rack], ...]}: tasks that have run, tasks that
+//  succeeded, and tasks whose run its executor has listed; times are UTC in milliseconds. The
+//  crashes are left out if there were none, "l", "s" and "w" if they are empty. Only the phase of a
+//  first row counts.
 std::string encode_progress(const job_state& job, std::uint32_t row,
                             const std::vector<instance_state>& instances) {
     json out{{"p", static_cast<int>(job.phase)}};
@@ -330,14 +333,18 @@
     json histories = json::array();
     json executors = json::object();
     json done = json::array();
+    json listed = json::array();
+    const auto add = [](json& steps, std::uint32_t k, std::uint32_t s, std::uint32_t i) {
+        if (steps.empty() || steps.back()[0] != k || steps.back()[1] != s) {
+            steps.push_back({k, s, json::array()});
+        }
+        steps.back()[2].push_back(i);
+    };
     for_each_task_of_row(job, row, [&](std::uint32_t k, std::uint32_t s, std::uint32_t i) {
         const auto& task = job.occurrences[k].steps[s].tasks[i];
         encode_step_times(out, job, k, s);
         if (task.phase == task_phase::succeeded) {
-            if (done.empty() || done.back()[0] != k || done.back()[1] != s) {
-                done.push_back({k, s, json::array()});
-            }
-            done.back()[2].push_back(i);
+            add(done, k, s, i);
         } else if (task.run.value() > 0) {
             // A new owner awaits the run that is being stopped as it does the current one.
             const auto occupied =
@@ -347,6 +354,9 @@
             if (task.instance && task.incarnation != executor_incarnation(0)) {
                 executors[instance] = task.incarnation.value();
             }
+            if (task.is_listed) {
+                add(listed, k, s, i);
+            }
         }
     });
     out["t"] = std::move(histories);
@@ -354,6 +364,9 @@
         out["e"] = std::move(executors);
     }
     out["d"] = std::move(done);
+    if (!listed.empty()) {
+        out["l"] = std::move(listed);
+    }
     return out.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
@@ -403,6 +416,11 @@
                 record.succeeded.push_back({count(entry.at(0)), count(entry.at(1)), count(index)});
             }
         }
+        for (const auto& entry : json_input::list_or_empty(in, "l")) {
+            for (const auto& index : json_input::list(entry.at(2))) {
+                record.listed.insert({count(entry.at(0)), count(entry.at(1)), count(index)});
+            }
+        }
         record.step_ends = decode_step_times(in, "s");
         record.wait_ends = decode_step_times(in, "w");
     } catch (const error&) {
--- a/libs/dispatch/src/task_lifecycle.cpp
+++ b/libs/dispatch/src/task_lifecycle.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 #include "coordinator_state.hpp"
 
@@ -100,9 +101,19 @@
     task.speed = {};
     task.has_begun = false;
     task.incarnation = executor_incarnation(0);
+    task.is_listed = false;
+    task.unlisted_until = {};
     mark_open_job_dirty(key);
 }
 
+void coordinator::state::mark_listed(const task_key& key, task_state& task) {
+    // Long-running tasks have to run again soon also if the owner and the instance are lost
+    // together; for the others the next write of the row tells it.
+    if (!std::exchange(task.is_listed, true) && spec_of(key).is_long_running) {
+        mark_open_job_dirty(key);
+    }
+}
+
 void coordinator::state::mark_open_job_dirty(const task_key& key) {
     if (const auto* job = find_job(key.job); job != nullptr && !job->is_terminal()) {
         mark_dirty(key);
@@ -460,6 +471,7 @@
         if (present.count(key) != 0 && is_wanted) {
             task.phase = task_phase::running;
             task.incarnation = found.executor->incarnation;
+            mark_listed(key, task);
             mark_begun(key, task);
             task.progressed_at = time.now();
             // It may have ended some time before the link is back.
--- a/libs/dispatch/tests/world.hpp
+++ b/libs/dispatch/tests/world.hpp
@@ -20,7 +20,7 @@
     std::uint32_t tasks_per_row = max_tasks_per_row;
     std::size_t max_rows_per_write = coordinator::options{}.max_rows_per_write;
     // Time after a takeover at which the runs of instances that the new coordinator has not claimed
-    // count as ended; no owner is simulated that grants leases after its takeover.
+    // count as ended; no owner is simulated that grants leases or sends starts after its takeover.
     milliseconds unclaimed_runs_end_after = lease_timing{}.expiry_delay();
     // An agent reads the lists of its executor only some time after it was claimed.
     bool delays_first_view = false;
@@ -66,6 +66,13 @@
     // Share of these restarts after which the executor is cut off from its agent within 2.5 s, for
     // up to 9 s.
     double cut_after_restart = 0;
+    // Share of the quick restarts that the agent does not notice at first: calls to the executor
+    // get no answer while it is down, and the agent reads no lists for up to 1.2 s, the time limit
+    // of the call that was open when the executor ended.
+    double silent_restart = 0;
+    // Share of these restarts after which the coordinator loses its link to the agent within 2.5 s,
+    // for up to 9 s.
+    double link_cut_after_restart = 0;
     // Another writer reports an executor of a later incarnation to an agent.
     double foreign_report = 0;
 };
--- a/libs/dispatch_node/src/agent_node.cpp
+++ b/libs/dispatch_node/src/agent_node.cpp
@@ -41,7 +41,7 @@
           store(table_store),
           executor(executor_client),
           options(std::move(node_options)),
-          core(node_clock, *this) {}
+          core(node_clock, *this, options.timing) {}
 
     // --- registration
     void register_self() {
--- a/libs/dispatch_node/src/entry_node.cpp
+++ b/libs/dispatch_node/src/entry_node.cpp
@@ -69,8 +69,7 @@
         environment.early_cancellation_lifetime = options.early_cancellation_lifetime;
         environment.scheduling = options.scheduling;
         session = std::make_shared<owner_session>(
-            environment, gained.epoch,
-            gained.earlier_grants_end_by + options.timing.expiry_delay());
+            environment, gained.epoch, ownership::unclaimed_runs_end_by(gained, options.timing));
         session->set_queues(queues);
         session->set_evacuated(evacuated);
         session->begin();
--- a/libs/dispatch_node/src/owner_reports.cpp
+++ b/libs/dispatch_node/src/owner_reports.cpp
@@ -18,7 +18,7 @@
     const auto agent = agents_.find(crash.instance);
     const bool has_connected = agent != agents_.end() && agent->second.last_message_at != instant{};
     const auto silent = has_connected ? env_.time->now() - agent->second.last_message_at
-                                     : env_.time->now() - gained_at_;
+                                      : env_.time->now() - gained_at_;
     log_event(log_level::warning, crash.is_unreachable ? "executor_expired" : "executor_crashed",
               {{"agent", crash.instance.value()},
                {"suspects", crash.suspects.size()},
--- a/libs/dispatch_node/src/owner_session.cpp
+++ b/libs/dispatch_node/src/owner_session.cpp
@@ -70,7 +70,8 @@
     return std::to_string(partition_of(job.value(), job_part_count).value());
 }
 
-owner_session::owner_session(environment env, epoch_number epoch, instant unclaimed_runs_end_by)
+owner_session::owner_session(environment env, epoch_number epoch,
+                             const run_ends& unclaimed_runs_end_by)
     : env_(env),
       epoch_(epoch),
       gained_at_(env.time->now()),
@@ -257,7 +258,7 @@
     const auto address = eventio::parse_endpoint(address_text);
     auto [position, is_new] = agents_.try_emplace(name);
     if (is_new) {
-        position->second.runs_end_by = unclaimed_runs_end_by_;
+        position->second.runs_end_by = unclaimed_runs_end_by_.listed;
     } else if (position->second.address != address) {
         disconnect(name, "agent address changed");
     }
@@ -478,12 +479,14 @@
     if (has_rows) {
         rows = coordinator_.begin_write();
     }
-    env_.owner->write(rows, [weak = weak_from_this(), has_rows](bool is_durable) {
+    env_.owner->write(rows, [weak = weak_from_this(), has_rows, now](bool is_durable) {
         const auto self = weak.lock();
         if (!self || self->is_closed_) {
             return;
         }
-        if (has_rows && is_durable) {
+        const bool may_start =
+            self->env_.time->now() - now <= self->env_.timing.max_start_write_age;
+        if (has_rows && is_durable && may_start) {
             self->coordinator_.write_done();
         } else if (has_rows) {
             self->coordinator_.write_failed();
--- a/libs/dispatch_node/src/owner_session.hpp
+++ b/libs/dispatch_node/src/owner_session.hpp
@@ -41,7 +41,7 @@
     };
 
     // Runs on instances whose agents cannot be claimed have ended by `unclaimed_runs_end_by`.
-    owner_session(environment env, epoch_number epoch, instant unclaimed_runs_end_by);
+    owner_session(environment env, epoch_number epoch, const run_ends& unclaimed_runs_end_by);
 
     void begin();
     // Closes all links; callbacks that are still pending have no effect.
@@ -134,7 +134,7 @@
     environment env_;
     epoch_number epoch_;
     instant gained_at_;
-    instant unclaimed_runs_end_by_;
+    run_ends unclaimed_runs_end_by_;
     coordinator coordinator_;
     early_cancellations early_cancellations_;
     std::unique_ptr<table_watcher> job_watcher_;
--- a/libs/dispatch_node/src/ownership.cpp
+++ b/libs/dispatch_node/src/ownership.cpp
@@ -438,6 +438,14 @@
     });
 }
 
+run_ends ownership::unclaimed_runs_end_by(const gain& gained, const lease_timing& timing) {
+    const instant listed = gained.earlier_grants_end_by + timing.expiry_delay();
+    // Agents make no call for a start long after the grants have ended, nor owners after a write.
+    const instant last_start = std::min(gained.earlier_grants_end_by,
+                                        gained.previous_written_by + timing.max_start_write_age);
+    return {listed, std::max(listed, last_start + timing.start_expiry_delay())};
+}
+
 bool ownership::is_owner() const {
     return state_->is_owner;
 }
--- a/libs/dispatch_node/src/ownership.hpp
+++ b/libs/dispatch_node/src/ownership.hpp
@@ -54,6 +54,11 @@
         std::function<void()> on_lost;
     };
 
+    // When all runs have ended that earlier owners started on instances whose agents the new one
+    // cannot claim.
+    [[nodiscard]] static run_ends unclaimed_runs_end_by(const gain& gained,
+                                                        const lease_timing& timing);
+
     ownership(eventio::event_loop& loop, const clock& time, row_store& store,
               const entry_options& local_entry, events handlers);
     ~ownership();
