--- a/libs/dispatch_node/tests/unclaimed_runs_test.cpp
+++ b/libs/dispatch_node/tests/unclaimed_runs_test.cpp
@@ -18,9 +18,7 @@
         gained.earlier_grants_end_by =
             gained.previous_written_by + timing.max_renewal_without_store;
     }
-    [[nodiscard]] run_ends ends() const {
-        return ownership::unclaimed_runs_end_by(gained, timing);
-    }
+    [[nodiscard]] run_ends ends() const { return ownership::unclaimed_runs_end_by(gained, timing); }
 };
 
 }  // namespace
@@ -39,8 +37,8 @@
     }
     SUBCASE("by an owner that has released it, and grants and starts nothing since") {
         f.gained.earlier_grants_end_by = f.gained.previous_written_by;
-        CHECK((f.ends().unlisted ==
-               f.gained.earlier_grants_end_by + f.timing.start_expiry_delay()));
+        CHECK(
+            (f.ends().unlisted == f.gained.earlier_grants_end_by + f.timing.start_expiry_delay()));
     }
 }
 
