dispatch: comments on the bounds of starts

Cause: read-through of the diff; the reason for checking a start again had been dropped. Change: comments only.

--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -293,19 +293,20 @@
     // A call to an executor is abandoned before this time has passed.
     milliseconds max_call_time{500};
     // A coordinator sends starts only within this time after it sent the write that makes them
-    // durable. The store answers within 1.3 s, or refuses, also when it is slow.
+    // durable, and repeats a write that took longer. A store that is slow refuses writes which
+    // would wait for over a second.
     milliseconds max_start_write_age{3'000};
 
     // Time after the last grant at which no run of an unreachable instance is still alive that its
     // executor has listed.
     [[nodiscard]] milliseconds expiry_delay() const { return time_to_end(lease_duration); }
-    // The same after the last call that may carry a time of another clock, ...
+    // The same after the last call that may carry a time of another clock.
     [[nodiscard]] milliseconds max_expiry_delay() const { return time_to_end(max_lease); }
-    // ... after the agent has ceased to make such calls, ...
+    // The same after the agent has ceased to make such calls, while one may be on its way.
     [[nodiscard]] milliseconds call_expiry_delay() const {
         return max_call_time + max_expiry_delay();
     }
-    // ... and after the order of a start that no executor has listed. Another incarnation may have
+    // The same after the order of a start that no executor has listed: another incarnation may have
     // taken it, unnoticed by the agent, and holds it for the longest lease.
     [[nodiscard]] milliseconds start_expiry_delay() const {
         return max_start_delay + call_expiry_delay();
--- a/libs/dispatch/src/agent.cpp
+++ b/libs/dispatch/src/agent.cpp
@@ -77,6 +77,8 @@
     return order.capacity && !order.capacity->fits_in(executor_->capacity);
 }
 
+// Checked before each attempt, since the agent may have been suspended, or the executor may have
+// begun to drain or have shrunk while the answer was awaited.
 bool agent::may_send(const order_state& state) const {
     return state.attempts < max_start_attempts && accepts(state.order) &&
            !has_shrunk_since(state.order) && time_.now() < state.start_until;
