--- a/review/standin-3/deployment.cpp
+++ b/review/standin-3/deployment.cpp
@@ -98,6 +98,17 @@
     log_.line(name_ + " gets signal " + std::to_string(number));
 }
 
+long machine::resident_kib() const {
+    std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+    const std::string key = "VmRSS:";
+    for (std::string line; pid_ > 0 && std::getline(status, line);) {
+        if (line.compare(0, key.size(), key) == 0) {
+            return std::stol(line.substr(key.size()));
+        }
+    }
+    return 0;
+}
+
 deployment::deployment(record& record_log, int entry_count,
                        const std::vector<executor_options>& executor_list,
                        const std::vector<queue>& queues)
--- a/review/standin-3/standin.hpp
+++ b/review/standin-3/standin.hpp
@@ -247,6 +247,8 @@
     void kill();
     void signal(int number);
     [[nodiscard]] const std::string& name() const { return name_; }
+    // Resident memory in KiB; 0 if it does not run.
+    [[nodiscard]] long resident_kib() const;
 
 private:
     std::string name_;
