--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -858,6 +858,15 @@
         std::size_t early_cancellations = 0;
     };
     [[nodiscard]] counts count() const;
+    // What is kept in memory of all jobs, ended ones too.
+    struct kept_state {
+        std::size_t jobs = 0;
+        std::size_t occurrences = 0;
+        std::size_t tasks = 0;
+        // Of the objects and what they hold, without the overhead of the allocator.
+        std::size_t bytes = 0;
+    };
+    [[nodiscard]] kept_state kept() const;
     // The share of its service's capacity that each queue with assigned tasks has in use, in
     // thousandths: the largest of its shares of processors, memory and accelerators.
     [[nodiscard]] std::map<queue_id, std::int64_t> queue_shares() const;
--- /dev/null
+++ b/libs/dispatch/src/kept_state.cpp
@@ -0,0 +1,55 @@
+// Memory that the coordinator takes for jobs.
+
+#include "coordinator_state.hpp"
+
+namespace tanagerpaddle::dispatch {
+
+namespace {
+
+std::size_t bytes_of(const std::string& text) {
+    static const std::size_t inner_capacity = std::string().capacity();
+    return text.capacity() > inner_capacity ? text.capacity() + 1 : 0;
+}
+
+std::size_t bytes_of(const step_spec& spec) {
+    return sizeof(spec) + spec.depends_on.capacity() * sizeof(spec.depends_on[0]) +
+           bytes_of(spec.required_label) + bytes_of(spec.preferred_rack.value()) +
+           bytes_of(spec.image);
+}
+
+std::size_t bytes_of(const submitted_job& job) {
+    std::size_t bytes = bytes_of(job.id.value()) + bytes_of(job.queue.value()) +
+                        bytes_of(job.rules.service.value()) + bytes_of(job.spec.payload);
+    for (const auto& step : job.spec.steps) {
+        bytes += bytes_of(step);
+    }
+    return bytes;
+}
+
+void add(coordinator::kept_state& kept, const occurrence_state& occurrence) {
+    ++kept.occurrences;
+    kept.bytes += sizeof(occurrence);
+    for (const auto& step : occurrence.steps) {
+        kept.bytes += sizeof(step);
+        for (const auto& task : step.tasks) {
+            ++kept.tasks;
+            kept.bytes += sizeof(task) + bytes_of(task.checkpoint);
+        }
+    }
+}
+
+}  // namespace
+
+coordinator::kept_state coordinator::kept() const {
+    kept_state kept;
+    for (const auto& [id, job] : state_->jobs) {
+        ++kept.jobs;
+        kept.bytes += sizeof(job) + bytes_of(job.submitted) + job.rows.size() * sizeof(job.rows[0]);
+        for (const auto& occurrence : job.occurrences) {
+            add(kept, occurrence);
+        }
+    }
+    return kept;
+}
+
+}  // namespace tanagerpaddle::dispatch
--- a/libs/dispatch_node/include/tanagerpaddle/dispatch_node.hpp
+++ b/libs/dispatch_node/include/tanagerpaddle/dispatch_node.hpp
@@ -291,6 +291,8 @@
     [[nodiscard]] bool is_store_reachable(milliseconds max_age) const;
     // Counts for metrics; zero on an entry that is not the owner.
     [[nodiscard]] coordinator::counts count() const;
+    // Zero unless this entry owns the coordinator.
+    [[nodiscard]] coordinator::kept_state kept() const;
     // See coordinator::queue_shares(); empty on an entry that is not the owner.
     [[nodiscard]] std::map<queue_id, std::int64_t> queue_shares() const;
 
--- a/libs/dispatch_node/src/entry_node.cpp
+++ b/libs/dispatch_node/src/entry_node.cpp
@@ -728,6 +728,10 @@
     return state_->session ? state_->session->jobs().count() : coordinator::counts{};
 }
 
+coordinator::kept_state entry_node::kept() const {
+    return state_->session ? state_->session->jobs().kept() : coordinator::kept_state{};
+}
+
 std::map<queue_id, std::int64_t> entry_node::queue_shares() const {
     return state_->session ? state_->session->jobs().queue_shares()
                            : std::map<queue_id, std::int64_t>{};
--- a/libs/dispatch_node/src/owner_session.cpp
+++ b/libs/dispatch_node/src/owner_session.cpp
@@ -215,10 +215,15 @@
         }
     }
     is_loaded_ = true;
+    const auto kept = coordinator_.kept();
     log_event(log_level::info, "jobs_loaded",
               {{"epoch", epoch_.value()},
                {"progress_rows", progress_.size()},
-               {"jobs", coordinator_.count().jobs}});
+               {"jobs", coordinator_.count().jobs},
+               {"kept_jobs", kept.jobs},
+               {"kept_occurrences", kept.occurrences},
+               {"kept_tasks", kept.tasks},
+               {"kept_bytes", kept.bytes}});
     progress_ = {};
     watch_agents();
 }
