dispatch: a gang's member that never started keeps no capacity

Cause: when one member completes a gang, the others count as runs that exit by themselves. One whose start was then reported as refused never exits, so that its instance kept the capacity for good. Change: a refused start removes such a run.

--- a/libs/dispatch/src/coordinator.cpp
+++ b/libs/dispatch/src/coordinator.cpp
@@ -385,6 +385,10 @@
 void coordinator::start_reported(const instance_name& name, const task_key& key, run_number run,
                                  start_outcome outcome) {
     const auto index = state_->find_instance(name);
+    if (index && outcome != start_outcome::started) {
+        // A member that never started, of a gang that has succeeded.
+        state_->remove_orphaned_run(*index, key, run);
+    }
     auto* task = state_->find_task(key);
     if (!index || task == nullptr || task->instance != index || task->run != run) {
         return;
--- a/libs/dispatch/tests/gang_test.cpp
+++ b/libs/dispatch/tests/gang_test.cpp
@@ -102,3 +102,23 @@
         CHECK(f.orders.started[1].checkpoint == "c");
     }
 }
+
+// Guards against capacity that nothing frees: a member whose start is refused after another has
+// completed the gang counted as a run that exits by itself.
+TEST_CASE("a member that did not start keeps no capacity once its gang has succeeded") {
+    fixture f;
+    const auto gang = f.orders.started;
+    f.jobs.runs_finished(
+        f.name, f.incarnation,
+        {{completion_number(1), gang[0].task, gang[0].run, run_outcome::succeeded, ""}});
+    f.jobs.start_reported(f.name, gang[1].task, gang[1].run, start_outcome::not_started);
+    job_shape whole_instance;
+    whole_instance.tasks = 1;
+    whole_instance.millicores_each = 8'000;
+    f.jobs.add_job(make_job("next", whole_instance), milliseconds(0));
+    f.orders.started.clear();
+    f.jobs.plan();
+    static_cast<void>(f.jobs.begin_write());
+    f.jobs.write_done();
+    CHECK(f.orders.started.size() == 1);
+}
--- a/libs/dispatch/tests/random_faults_test.cpp
+++ b/libs/dispatch/tests/random_faults_test.cpp
@@ -288,6 +288,7 @@
         FAIL_CHECK("seed " << seed << ": " << violation);
     }
     CHECK(system.open_jobs() == 0);
+    CHECK(system.jobs().kept().tasks == 0);
 }
 
 }  // namespace
