dispatch: of a job that has ended, the owner keeps the phase only

Cause: an owner kept the specification and the state of each job that had ended, and a new owner read the whole job table before it looked at the first row: hours of jobs take it over its memory.

Ruled out: the table's rows as such, which are small; removing them needs a rule on how long callers may ask, which the platform does not give.

Change: a job is dropped once its phase is stored and no run of it is left; a new owner learns of ended jobs from their progress rows and reads the job table page by page. What a run of such a job takes is not known any more: nothing starts beside one until it is stopped, where it counted as taking nothing before. Counts of an owner that is still loading are zero: its tasks that run would count as waiting.

--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -132,6 +132,9 @@
 
 enum class job_phase : std::uint8_t { pending, running, completed, failed, cancelled };
 [[nodiscard]] std::string_view name(job_phase phase) noexcept;
+[[nodiscard]] constexpr bool is_terminal(job_phase phase) noexcept {
+    return phase != job_phase::pending && phase != job_phase::running;
+}
 
 // ---------------------------------------------------------------------------------------------
 // Executors
@@ -765,6 +768,10 @@
     // --- jobs ----------------------------------------------------------------------------------
     // Adds a stored job. `age` is the time since its acceptance. Jobs already added are ignored.
     void add_job(const submitted_job& job, milliseconds age);
+    // Adds a stored job that has ended, by the phase in its first progress row. Nothing but its
+    // phase is kept, as of every job that has ended once its phase is stored and no run of it is
+    // left; add_job and restore have no effect on it.
+    void add_ended(const job_id& job, job_phase phase);
     // Restores a progress row that an earlier owner wrote; call it after add_job of its job, for
     // the rows of a job in any order. Tasks that the row places on an instance stay assigned to it
     // until the instance's inventory resolves their state or `ends_by` has passed. Returns false
@@ -861,9 +868,11 @@
         std::size_t early_cancellations = 0;
     };
     [[nodiscard]] counts count() const;
-    // What is kept in memory of all jobs, ended ones too.
+    // What is kept in memory of all jobs.
     struct kept_state {
+        // Without those of which only the phase is kept.
         std::size_t jobs = 0;
+        std::size_t ended_jobs = 0;
         std::size_t occurrences = 0;
         std::size_t tasks = 0;
         // Of the objects and what they hold, without the overhead of the allocator.
--- a/libs/dispatch/src/coordinator.cpp
+++ b/libs/dispatch/src/coordinator.cpp
@@ -145,6 +145,9 @@
 }
 
 void coordinator::add_job(const submitted_job& job, milliseconds age) {
+    if (state_->ended_jobs.contains(job.id)) {
+        return;
+    }
     const auto [position, is_new] = state_->jobs.try_emplace(job.id);
     if (!is_new) {
         return;
@@ -168,7 +171,17 @@
     }
 }
 
+void coordinator::add_ended(const job_id& id, job_phase phase) {
+    check_invariant(is_terminal(phase), "a job that is open was added as ended");
+    if (!state_->jobs.contains(id)) {
+        state_->ended_jobs.emplace(id, phase);
+    }
+}
+
 void coordinator::cancel_job(const job_id& id) {
+    if (state_->ended_jobs.contains(id)) {
+        return;
+    }
     auto* job = state_->find_job(id);
     if (job == nullptr) {
         state_->early_cancellations.insert(id);
@@ -182,6 +195,9 @@
 }
 
 std::optional<job_status> coordinator::status(const job_id& id) const {
+    if (const auto ended = state_->ended_jobs.find(id); ended != state_->ended_jobs.end()) {
+        return job_status{ended->second};
+    }
     const auto found = state_->jobs.find(id);
     if (found == state_->jobs.end()) {
         return std::nullopt;
@@ -191,7 +207,7 @@
     if (job.phase == job_phase::cancelled) {
         return job_status{job_phase::cancelled};
     }
-    if (job.durable_phase != job_phase::pending && job.durable_phase != job_phase::running) {
+    if (is_terminal(job.durable_phase)) {
         return job_status{job.durable_phase};
     }
     return job_status{job.has_started ? job_phase::running : job_phase::pending};
@@ -322,13 +338,7 @@
     instance.expires_at =
         instance.executor ? expires_at : std::min(instance.expires_at, expires_at);
     instance.expires_at = std::max(instance.expires_at, instance.earlier_leases_end_by);
-    const std::vector<task_key> keys(instance.tasks.begin(), instance.tasks.end());
-    for (const auto& key : keys) {
-        auto& task = *state_->find_task(key);
-        if (task.phase == task_phase::placed) {
-            state_->withdraw(key);
-        }
-    }
+    state_->withdraw_placed(index);
 }
 
 bool coordinator::has_executor(const instance_name& name) const {
--- a/libs/dispatch/src/coordinator_state.hpp
+++ b/libs/dispatch/src/coordinator_state.hpp
@@ -141,6 +141,8 @@
     // left to that.
     void stop_unexpected_run(std::size_t instance, const task_key& key, run_number run);
     void stop_orphaned_run(std::size_t instance, const task_key& key, run_number run);
+    // Withdraws the starts on the instance that were not sent yet.
+    void withdraw_placed(std::size_t instance);
     // Returns false if there is no such run.
     bool remove_orphaned_run(std::size_t index, const task_key& key, run_number run);
     void count_orphaned_run_ended(const task_key& key);
@@ -320,6 +322,8 @@
     [[nodiscard]] std::uint32_t first_not_later_than(const job_state& job, std::uint32_t due_count,
                                                      int rank) const;
     void discard_ended_state();
+    // Keeps only the phase of a job that has ended if nothing else of it is needed any more.
+    void forget_if_over(const job_id& id);
 
     // --- placement (planning.cpp)
     void expire_instances();
@@ -353,6 +357,8 @@
     std::unordered_map<job_id, job_state> jobs;
     // Jobs that have not reached a terminal phase.
     std::set<job_id> active_jobs;
+    // Jobs that have ended, with their stored phases; they are not in `jobs`.
+    std::unordered_map<job_id, job_phase> ended_jobs;
     // Jobs of which the next plan drops what has ended.
     std::set<job_id> discardable_jobs;
     // Cancelled jobs that have not been added yet: a job may be stored after its cancellation.
--- a/libs/dispatch/src/crashes.cpp
+++ b/libs/dispatch/src/crashes.cpp
@@ -248,9 +248,10 @@
         const bool is_on_trial =
             task != nullptr && task->instance == i &&
             (!task->has_begun || time.now() - task->started_at < config.crashes.isolation_time);
-        const bool is_awaited =
-            instance.is_linked && instance.executor && !instance.executor->is_draining &&
-            !find_job(key.job)->is_terminal() && needs_isolation(spec_of(key), task);
+        const bool is_awaited = task != nullptr && instance.is_linked && instance.executor &&
+                                !instance.executor->is_draining &&
+                                !find_job(key.job)->is_terminal() &&
+                                needs_isolation(spec_of(key), task);
         if (!is_on_trial && !is_awaited) {
             instance.isolated_task.reset();
         }
--- a/libs/dispatch/src/job_state.hpp
+++ b/libs/dispatch/src/job_state.hpp
@@ -235,9 +235,7 @@
     // Since when no task of the job has been assigned to an instance.
     std::optional<instant> idle_since;
 
-    [[nodiscard]] bool is_terminal() const noexcept {
-        return phase != job_phase::pending && phase != job_phase::running;
-    }
+    [[nodiscard]] bool is_terminal() const noexcept { return dispatch::is_terminal(phase); }
 };
 
 }  // namespace tanagerpaddle::dispatch
--- a/libs/dispatch/src/kept_state.cpp
+++ b/libs/dispatch/src/kept_state.cpp
@@ -49,6 +49,10 @@
             add(kept, occurrence);
         }
     }
+    for (const auto& [id, phase] : state_->ended_jobs) {
+        ++kept.ended_jobs;
+        kept.bytes += sizeof(id) + sizeof(phase) + bytes_of(id.value());
+    }
     return kept;
 }
 
--- a/libs/dispatch/src/long_running.cpp
+++ b/libs/dispatch/src/long_running.cpp
@@ -208,7 +208,7 @@
     for (const auto& [id, demand] : instance.orphaned_runs) {
         capacity_holder holder;
         holder.task = id.first;
-        holder.held = demand;
+        holder.held = demand.value_or(resources{});
         holder.ends_at = time.now() + expected_stop_time;
         view.holders.push_back(holder);
     }
--- a/libs/dispatch/src/occurrences.cpp
+++ b/libs/dispatch/src/occurrences.cpp
@@ -129,14 +129,32 @@
 void coordinator::state::discard_ended_state() {
     for (const auto& id : discardable_jobs) {
         auto* job = find_job(id);
+        if (job == nullptr) {
+            continue;
+        }
         job->occurrences.discard_ended(job->is_terminal());
         const auto begin = permits_by_step.lower_bound({id, 0, 0});
         for (auto entry = begin; entry != permits_by_step.end() && entry->first.job == id;) {
             const bool is_needed = job->occurrences.find(entry->first.occurrence) != nullptr;
             entry = is_needed ? std::next(entry) : permits_by_step.erase(entry);
         }
+        forget_if_over(id);
     }
     discardable_jobs.clear();
 }
 
+void coordinator::state::forget_if_over(const job_id& id) {
+    const auto& job = *find_job(id);
+    const auto phase = job.phase;
+    const bool is_in_write =
+        active_write && std::any_of(active_write->jobs.begin(), active_write->jobs.end(),
+                                    [&](const job_write& written) { return written.job == id; });
+    if (!is_terminal(phase) || job.durable_phase != phase || job.is_dirty || is_in_write ||
+        !job.occurrences.kept().empty()) {
+        return;
+    }
+    jobs.erase(id);
+    ended_jobs.emplace(id, phase);
+}
+
 }  // namespace tanagerpaddle::dispatch
--- a/libs/dispatch/src/placement.cpp
+++ b/libs/dispatch/src/placement.cpp
@@ -215,6 +215,11 @@
     failing_jobs_.erase(std::prev(failing_jobs_.end()));
 }
 
+bool instance_state::has_run_of_unknown_demand() const {
+    return std::any_of(orphaned_runs.begin(), orphaned_runs.end(),
+                       [](const auto& run) { return !run.second; });
+}
+
 std::int64_t instance_state::idle_millicores() const {
     return free().processors.value() + serving_demand.value() * reclaimable_percent / 100 -
            (slack_revision ? usable_filler_demand : filler_demand.value());
@@ -274,8 +279,11 @@
     if (instance.executor->is_draining) {
         return placement_obstacle::draining;
     }
-    return context.evacuated->count(instance.executor->domain) != 0 ? placement_obstacle::evacuated
-                                                                    : placement_obstacle::none;
+    if (context.evacuated->count(instance.executor->domain) != 0) {
+        return placement_obstacle::evacuated;
+    }
+    return instance.has_run_of_unknown_demand() ? placement_obstacle::unknown_run
+                                                : placement_obstacle::none;
 }
 
 // The first reason to keep the step from the instance whatever its capacity.
@@ -317,10 +325,10 @@
 }  // namespace
 
 std::string_view name(placement_obstacle obstacle) noexcept {
-    static constexpr std::array<std::string_view, 15> names{
-        "none",      "not_linked",   "no_executor",  "stale_view",    "draining",
-        "evacuated", "not_eligible", "isolated",     "quarantined",   "reserved",
-        "no_permit", "other_rack",   "spread_limit", "refused_start", "no_capacity"};
+    static constexpr std::array<std::string_view, 16> names{
+        "none",        "not_linked",   "no_executor",   "stale_view",  "draining", "evacuated",
+        "unknown_run", "not_eligible", "isolated",      "quarantined", "reserved", "no_permit",
+        "other_rack",  "spread_limit", "refused_start", "no_capacity"};
     return names.at(static_cast<std::size_t>(obstacle));
 }
 
--- a/libs/dispatch/src/placement.hpp
+++ b/libs/dispatch/src/placement.hpp
@@ -50,8 +50,8 @@
     millicores serving_demand;
     std::set<task_key> tasks;
     // Runs without an assigned task that are being stopped; their resources stay committed until
-    // they end.
-    std::map<std::pair<task_key, run_number>, resources> orphaned_runs;
+    // they end. Those of a run whose job has ended, or was never known, are not known.
+    std::map<std::pair<task_key, run_number>, std::optional<resources>> orphaned_runs;
     // Utilisation that fillers may still add, by serving image; see min_slack.
     struct slack_entry {
         std::string image;
@@ -91,6 +91,8 @@
     // The only task that may start here; see crash_rules.
     std::optional<task_key> isolated_task;
 
+    // A run is being stopped of which it is not known what it takes.
+    [[nodiscard]] bool has_run_of_unknown_demand() const;
     [[nodiscard]] resources free() const {
         return executor ? executor->capacity - committed : resources{};
     }
@@ -186,6 +188,7 @@
     stale_view,
     draining,
     evacuated,
+    unknown_run,
     not_eligible,
     isolated,
     quarantined,
--- a/libs/dispatch/src/progress.cpp
+++ b/libs/dispatch/src/progress.cpp
@@ -125,6 +125,9 @@
 
 bool coordinator::restore(const job_id& id, std::string_view value, const run_ends& ends_by,
                           std::uint32_t number) {
+    if (state_->ended_jobs.contains(id)) {
+        return true;
+    }
     const auto record = decode_progress(value);
     auto* job = state_->find_job(id);
     if (!record || job == nullptr || number >= job->layout.row_count()) {
@@ -144,6 +147,7 @@
         coordinator::state::drop_writes(*job);
         state_->active_jobs.erase(id);
         state_->mark_started(*job);
+        state_->forget_if_over(id);
         return true;
     }
     state_->clear_row(*job, number);
@@ -323,6 +327,9 @@
         if (std::find(written.rows.begin(), written.rows.end(), 0U) != written.rows.end()) {
             job.durable_phase = written.phase;
             job.writes_first_row_last = false;
+            if (is_terminal(written.phase)) {
+                state_->discard_later(written.job);
+            }
         }
     }
     for (auto& written : write.jobs) {
--- a/libs/dispatch/src/rack_waits.cpp
+++ b/libs/dispatch/src/rack_waits.cpp
@@ -265,7 +265,8 @@
                 releases.push_back({predicted_end(run, context.now), demand_of(spec)});
             }
         }
-        for (const auto& [id, reserved] : instance.orphaned_runs) {
+        for (const auto& [id, demand] : instance.orphaned_runs) {
+            const auto reserved = demand.value_or(resources{});
             releases.push_back(
                 {context.now + stop_time, {reserved, reserved.processors.value(), false}});
         }
--- a/libs/dispatch/src/task_lifecycle.cpp
+++ b/libs/dispatch/src/task_lifecycle.cpp
@@ -155,20 +155,34 @@
         if (task != nullptr && task->phase == task_phase::placed) {
             withdraw(key);
         }
-        // The demand of a run whose job is unknown cannot be determined; such runs are rare and
-        // short.
-        const resources demand = has_task(key) ? reserved_resources(spec_of(key)) : resources{};
-        instance.orphaned_runs.emplace(id, demand);
+        if (has_task(key)) {
+            const resources demand = reserved_resources(spec_of(key));
+            instance.orphaned_runs.emplace(id, demand);
+            instance.committed += demand;
+        } else {
+            // Nothing starts beside it until it has ended; such runs are rare and short.
+            instance.orphaned_runs.emplace(id, std::nullopt);
+            withdraw_placed(index);
+        }
         if (task != nullptr) {
             ++task->orphaned_runs;
             task->orphan_instance = index;
             mark_open_job_dirty(key);
         }
-        instance.committed += demand;
     }
     orders.stop(instance.name, key, run);
 }
 
+void coordinator::state::withdraw_placed(std::size_t index) {
+    const auto& tasks = instances[index].tasks;
+    const std::vector<task_key> keys(tasks.begin(), tasks.end());
+    for (const auto& key : keys) {
+        if (find_task(key)->phase == task_phase::placed) {
+            withdraw(key);
+        }
+    }
+}
+
 bool coordinator::state::remove_orphaned_run(std::size_t index, const task_key& key,
                                              run_number run) {
     auto& instance = instances[index];
@@ -176,7 +190,7 @@
     if (found == instance.orphaned_runs.end()) {
         return false;
     }
-    instance.committed -= found->second;
+    instance.committed -= found->second.value_or(resources{});
     instance.orphaned_runs.erase(found);
     count_orphaned_run_ended(key);
     return true;
@@ -231,7 +245,8 @@
         }
     }
     std::erase_if(instance.orphaned_runs, [&](const auto& orphan) {
-        const auto& [id, demand] = orphan;
+        const auto& [id, known_demand] = orphan;
+        const auto demand = known_demand.value_or(resources{});
         if (survivors.count(id) != 0) {
             kept += demand;
             return false;
--- a/libs/dispatch/tests/kept_state_test.cpp
+++ b/libs/dispatch/tests/kept_state_test.cpp
@@ -45,6 +45,12 @@
     void add(const submitted_job& job) { jobs.add_job(job, milliseconds(0)); }
     // Reads the table as a new owner does; the instance has no runs.
     void load(const std::vector<submitted_job>& accepted) {
+        for (const auto& [key, row] : rows) {
+            const auto phase = decode_job_phase(row);
+            if (key.second == 0 && phase && is_terminal(*phase)) {
+                jobs.add_ended(key.first, *phase);
+            }
+        }
         for (const auto& job : accepted) {
             add(job);
         }
@@ -252,3 +258,56 @@
     CHECK(only.jobs.kept().tasks == 0);
     CHECK(only.jobs.kept().occurrences == 0);
 }
+
+// Guards against owners that are taken over their memory by hours of jobs that have ended.
+TEST_CASE("the phase of a job that has ended is kept and nothing else, also in the next owner") {
+    constexpr std::size_t job_count = 500;
+    fixture f;
+    for (std::size_t i = 0; i < job_count; ++i) {
+        f.accepted.push_back(make_job("job-" + std::to_string(i), {1, 2}));
+    }
+    owner first(f.time, f.rows);
+    first.load(f.accepted);
+    first.claim(100);
+    first.jobs.cancel_job(job_id("job-7"));
+    CHECK(first.run(11) == 2 * (job_count - 1));
+    CHECK(first.start().empty());
+    owner second(f.time, f.rows);
+    second.load(f.accepted);
+    for (auto* const each : {&first, &second}) {
+        CHECK(each->jobs.kept().jobs == 0);
+        CHECK(each->jobs.kept().ended_jobs == job_count);
+        CHECK(each->jobs.kept().bytes <= job_count * 128);
+        CHECK(each->jobs.status(job_id("job-6"))->phase == job_phase::completed);
+        CHECK(each->jobs.status(job_id("job-7"))->phase == job_phase::cancelled);
+        // What is read again, or asked too late, changes nothing.
+        each->add(f.accepted.front());
+        each->jobs.cancel_job(job_id("job-6"));
+        CHECK(each->start().empty());
+        CHECK(each->jobs.kept().jobs == 0);
+        CHECK(each->jobs.status(job_id("job-6"))->phase == job_phase::completed);
+    }
+}
+
+// A lost write leaves the phase that callers are told to the next one.
+TEST_CASE("a job that has ended is kept until its phase is stored") {
+    fixture f;
+    f.accepted.push_back(make_job("job", {1, 1}));
+    owner only(f.time, f.rows);
+    only.load(f.accepted);
+    only.claim(1);
+    only.finish(only.start());
+    only.jobs.plan();
+    REQUIRE(only.jobs.has_writes());
+    static_cast<void>(only.jobs.begin_write());
+    only.jobs.plan();
+    CHECK(only.jobs.kept().jobs == 1);
+    only.jobs.write_failed();
+    only.jobs.plan();
+    CHECK(only.jobs.kept().jobs == 1);
+    CHECK(only.jobs.status(job_id("job"))->phase == job_phase::running);
+    CHECK(only.start().empty());
+    CHECK(only.start().empty());
+    CHECK(only.jobs.kept().jobs == 0);
+    CHECK(only.jobs.status(job_id("job"))->phase == job_phase::completed);
+}
--- a/libs/dispatch/tests/unexpected_runs_test.cpp
+++ b/libs/dispatch/tests/unexpected_runs_test.cpp
@@ -123,6 +123,48 @@
     CHECK(f.orders.started.size() == 2);
 }
 
+// Guards against the same where the owner does not know what the run takes, since its job has ended
+// before this owner was one.
+TEST_CASE("nothing starts beside a run of a job that has ended until its stop is confirmed") {
+    fixture f({1, 1, 4'000, milliseconds(10'000)});
+    const auto first = f.orders.started.front();
+    f.jobs.start_reported(f.name, first.task, first.run, start_outcome::started);
+    f.jobs.add_ended(unknown_task.job, job_phase::cancelled);
+    f.list(unknown_task, first_run);
+    f.jobs.add_job(make_job("later", {1, 1, 1'000, milliseconds(10'000)}), milliseconds(0));
+    for (int i = 0; i < 5; ++i) {
+        f.time.advance(report_interval);
+        f.jobs.progress_reported(
+            f.name, {{unknown_task, first_run, "", 10, 0}, {first.task, first.run, "", 10, 0}}, {});
+        f.plan();
+    }
+    CHECK(f.orders.started.size() == 1);
+    CHECK(f.orders.stopped_runs() == describe(unknown_task, first_run));
+    f.jobs.stop_confirmed(f.name, unknown_task, first_run);
+    f.time.advance(report_interval);
+    f.jobs.progress_reported(f.name, {{first.task, first.run, "", 10, 0}}, {});
+    f.plan();
+    CHECK(f.orders.started.size() == 2);
+}
+
+TEST_CASE("starts that are not sent yet are withdrawn from beside a run of a job that has ended") {
+    fixture f;
+    f.jobs.start_reported(f.name, f.orders.started.front().task, first_run,
+                          start_outcome::not_started);
+    f.jobs.add_ended(unknown_task.job, job_phase::cancelled);
+    f.jobs.plan();
+    REQUIRE(f.jobs.has_writes());
+    static_cast<void>(f.jobs.begin_write());  // of the task's next start
+    f.jobs.progress_reported(f.name, {{unknown_task, first_run, "", 10, 0}}, {});
+    f.jobs.write_done();
+    f.plan();
+    CHECK(f.orders.started.size() == 1);
+    f.jobs.stop_confirmed(f.name, unknown_task, first_run);
+    f.time.advance(report_interval);
+    f.plan();
+    CHECK(f.orders.started.size() == 2);
+}
+
 TEST_CASE("a run whose start is not answered yet, or whose stop is ordered, is not stopped again") {
     fixture f;
     const auto order = f.orders.started.front();
--- a/libs/dispatch/tests/world.cpp
+++ b/libs/dispatch/tests/world.cpp
@@ -1016,6 +1016,12 @@
     }
     jobs->set_queues(rules);
     jobs->set_evacuated(evacuated);
+    for (const auto& [key, row] : progress) {
+        const auto phase = decode_job_phase(row);
+        if (key.second == 0 && phase && is_terminal(*phase)) {
+            jobs->add_ended(key.first, *phase);
+        }
+    }
     for (const auto& [id, job] : accepted) {
         jobs->add_job(job, milliseconds(0));
     }
--- a/libs/dispatch_node/include/tanagerpaddle/dispatch_node.hpp
+++ b/libs/dispatch_node/include/tanagerpaddle/dispatch_node.hpp
@@ -180,6 +180,10 @@
     struct options {
         std::string table;
         std::vector<std::string> parts{""};
+        // If set, it gets the rows of a full read page by page, so that the table is never in
+        // memory as a whole; `is_first` begins a read, also after one that was broken off. The
+        // handler then gets no rows at the end of the read.
+        std::function<void(const std::vector<stored_row>& rows, bool is_first)> on_page{};
     };
     // Gets all rows after a full read (`is_full`), otherwise the changed rows.
     using handler = std::function<void(const std::vector<stored_row>& rows, bool is_full)>;
--- a/libs/dispatch_node/src/entry_node.cpp
+++ b/libs/dispatch_node/src/entry_node.cpp
@@ -725,7 +725,9 @@
 }
 
 coordinator::counts entry_node::count() const {
-    return state_->session ? state_->session->jobs().count() : coordinator::counts{};
+    // Until all rows are restored, tasks that run are counted as waiting.
+    const bool is_known = state_->session && state_->session->is_loaded();
+    return is_known ? state_->session->jobs().count() : coordinator::counts{};
 }
 
 coordinator::kept_state entry_node::kept() const {
--- a/libs/dispatch_node/src/owner_session.cpp
+++ b/libs/dispatch_node/src/owner_session.cpp
@@ -115,46 +115,106 @@
                 });
                 return;
             }
-            self->progress_.insert(self->progress_.end(), result.rows.begin(), result.rows.end());
+            for (const auto& row : result.rows) {
+                self->add_progress(row);
+            }
             if (result.has_more && !result.rows.empty()) {
                 self->load_progress(result.rows.back().address.key + key_successor_suffix);
                 return;
             }
-            self->job_watcher_ = std::make_unique<table_watcher>(
-                *self->env_.loop, *self->env_.store,
-                table_watcher::options{job_table, all_job_parts()},
-                [weak = self->weak_from_this()](const std::vector<stored_row>& rows, bool is_full) {
-                    const auto session = weak.lock();
-                    if (!session || session->is_closed_) {
-                        return;
-                    }
-                    session->add_rows(rows, is_full);
-                    if (!session->is_loaded_) {
-                        session->finish_loading();
-                    }
-                    session->schedule_plan();
-                });
+            self->watch_jobs();
         });
 }
 
-void owner_session::add_rows(const std::vector<stored_row>& rows, bool is_full) {
-    if (is_full && early_cancellations_.size() > 0) {
-        // Removals may have been missed; a job that was stored after one is not cancelled.
-        std::set<std::string> stored;
-        for (const auto& row : rows) {
-            if (is_cancel_key(row.address.key)) {
-                stored.insert(row.address.key);
-            }
+// Rows of jobs that have ended are not kept until the jobs are known. The first row of a job comes
+// before its others.
+void owner_session::add_progress(const stored_row& row) {
+    const auto [job, number] = parse_progress_key(row.address.key);
+    if (number == 0) {
+        const auto phase = decode_job_phase(row.value);
+        if (phase && is_terminal(*phase)) {
+            coordinator_.add_ended(job, *phase);
         }
-        for (const auto& job : early_cancellations_.missing_in(stored)) {
-            forget_cancellation(job);
+    }
+    if (!coordinator_.status(job)) {
+        progress_.push_back(row);
+    }
+}
+
+void owner_session::watch_jobs() {
+    table_watcher::options options{job_table, all_job_parts()};
+    options.on_page = [weak = weak_from_this()](const std::vector<stored_row>& rows,
+                                                bool is_first) {
+        if (const auto self = weak.lock(); self && !self->is_closed_) {
+            self->add_page(rows, is_first);
+        }
+    };
+    job_watcher_ = std::make_unique<table_watcher>(
+        *env_.loop, *env_.store, options,
+        [weak = weak_from_this()](const std::vector<stored_row>& rows, bool is_full) {
+            const auto self = weak.lock();
+            if (!self || self->is_closed_) {
+                return;
+            }
+            if (is_full) {
+                self->add_read_rows();
+            }
+            for (const auto& row : rows) {
+                self->add_row(row);
+            }
+            if (!self->is_loaded_) {
+                self->finish_loading();
+            }
+            self->schedule_plan();
+        });
+}
+
+void owner_session::add_page(const std::vector<stored_row>& rows, bool is_first) {
+    if (is_first) {
+        read_rows_.clear();
+        if (!is_loaded_) {
+            forget_cancellations_but({});  // those of a read that was broken off
         }
     }
     for (const auto& row : rows) {
+        const auto& key = row.address.key;
+        if (!is_loaded_) {
+            add_row(row);
+            continue;
+        }
+        // Nothing may start before the cancellations are known, which may be in a later page.
+        const auto job = is_cancel_key(key) ? job_of_cancel_key(key) : job_id(key);
+        const auto known = coordinator_.status(job);
+        if (!known || (is_cancel_key(key) && !is_terminal(known->phase))) {
+            read_rows_.push_back(row);
+        }
+    }
+}
+
+// The read is complete. Removals of cancellations may have been missed before it; a job that was
+// stored after one is not cancelled.
+void owner_session::add_read_rows() {
+    if (!is_loaded_) {
+        return;
+    }
+    std::set<std::string> stored;
+    for (const auto& row : read_rows_) {
+        if (is_cancel_key(row.address.key)) {
+            stored.insert(row.address.key);
+        }
+    }
+    forget_cancellations_but(stored);
+    for (const auto& row : std::exchange(read_rows_, {})) {
         add_row(row);
     }
 }
 
+void owner_session::forget_cancellations_but(const std::set<std::string>& stored) {
+    for (const auto& job : early_cancellations_.missing_in(stored)) {
+        forget_cancellation(job);
+    }
+}
+
 void owner_session::add_row(const stored_row& row) {
     const auto& key = row.address.key;
     const bool is_removed = row.version == row_version(0);
@@ -166,15 +226,17 @@
     if (is_removed) {
         return;
     }
+    if (coordinator_.status(job_id(key))) {
+        return;  // a full read repeats it
+    }
     try {
         auto job = decode_job(row.value);
         job.id = job_id(key);
         const auto age = std::clamp<std::int64_t>(
             env_.time->utc_now().value() - job.accepted_at.value(), 0, 60'000);
-        const bool is_new = !coordinator_.status(job.id);
         coordinator_.add_job(job, milliseconds(is_loaded_ ? 0 : age));
         early_cancellations_.erase(job.id);
-        if (is_new && is_loaded_) {
+        if (is_loaded_) {
             log_event(log_level::info, "job_added",
                       {{"job", key},
                        {"row_version", row.version.value()},
@@ -221,6 +283,7 @@
                {"progress_rows", progress_.size()},
                {"jobs", coordinator_.count().jobs},
                {"kept_jobs", kept.jobs},
+               {"ended_jobs", kept.ended_jobs},
                {"kept_occurrences", kept.occurrences},
                {"kept_tasks", kept.tasks},
                {"kept_bytes", kept.bytes}});
--- a/libs/dispatch_node/src/owner_session.hpp
+++ b/libs/dispatch_node/src/owner_session.hpp
@@ -96,7 +96,12 @@
     };
 
     void load_progress(const std::string& from);
-    void add_rows(const std::vector<stored_row>& rows, bool is_full);
+    void add_progress(const stored_row& row);
+    void watch_jobs();
+    void add_page(const std::vector<stored_row>& rows, bool is_first);
+    void add_read_rows();
+    // `stored` holds the keys of cancellations.
+    void forget_cancellations_but(const std::set<std::string>& stored);
     void add_row(const stored_row& row);
     void add_cancellation(const job_id& job, row_version version);
     void forget_cancellation(const job_id& job);
@@ -140,7 +145,10 @@
     std::unique_ptr<table_watcher> job_watcher_;
     std::unique_ptr<table_watcher> agent_watcher_;
     std::map<instance_name, agent_link> agents_;
+    // Rows of jobs that were open when they were read, until the jobs are read.
     std::vector<stored_row> progress_;
+    // What is new in the pages of a repeated full read, until it is complete.
+    std::vector<stored_row> read_rows_;
     instant last_write_at_;
     // Earliest time of the next plan.
     instant next_plan_at_;
--- a/libs/dispatch_node/src/table_watcher.cpp
+++ b/libs/dispatch_node/src/table_watcher.cpp
@@ -30,6 +30,7 @@
 
     void read_all() {
         collected.clear();
+        is_first_page = true;
         version = row_version(0);
         read_pages(0, "");
     }
@@ -82,7 +83,14 @@
         if (version == row_version(0) || result.version < version) {
             version = result.version;
         }
-        collected.insert(collected.end(), result.rows.begin(), result.rows.end());
+        if (config.on_page) {
+            config.on_page(result.rows, std::exchange(is_first_page, false));
+        } else {
+            collected.insert(collected.end(), result.rows.begin(), result.rows.end());
+        }
+        if (is_closed) {
+            return;
+        }
         if (result.has_more && !result.rows.empty()) {
             read_pages(index, result.rows.back().address.key + key_successor_suffix);
         } else {
@@ -194,6 +202,7 @@
     handler on_rows;
     system_clock time;
     std::vector<stored_row> collected;
+    bool is_first_page = true;
     row_version version;
     instant confirmed_at;
     milliseconds answer_slack = min_answer_slack;
--- a/libs/dispatch_node/tests/entry_node_test.cpp
+++ b/libs/dispatch_node/tests/entry_node_test.cpp
@@ -356,3 +356,38 @@
     f.run_for(milliseconds(100));
     CHECK(f.status("0123456789abcdef").first == entry_node::lookup::found);
 }
+
+// Guards against owners that hold hours of ended jobs in memory, at once or while they read.
+TEST_CASE("an owner keeps the phase of jobs that have ended, whichever page tells it of them") {
+    constexpr int job_count = 200;
+    fixture f(false);
+    f.store.max_rows_per_read = 16;
+    for (int i = 0; i < job_count; ++i) {
+        const auto id = "job" + std::to_string(i);
+        f.store.put(job_table, part_of(job_id(id)), id, encode_job(make_job(id)));
+        f.store.put(progress_table, owner_part, id, R"({"p":2})");
+    }
+    f.store.put(job_table, part_of(job_id("open")), "open", encode_job(make_job("open")));
+    f.store.put(job_table, part_of(job_id("open")), "open/cancel", "{}");
+    f.entry.start();
+    REQUIRE(eventio::testing::run_until(f.loop, milliseconds(4'000),
+                                        [&] { return f.entry.kept().ended_jobs >= job_count; }));
+    f.run_for(milliseconds(200));
+    CHECK(f.entry.kept().jobs == 0);
+    CHECK(f.entry.kept().ended_jobs == job_count + 1);
+    CHECK(f.status("job199").second == job_phase::completed);
+    CHECK(f.status("open").second == job_phase::cancelled);
+    // The whole table is read again; what was stored meanwhile counts, and nothing else.
+    f.store.has_lost_history = true;
+    f.store.put(job_table, part_of(job_id("later")), "later", encode_job(make_job("later")));
+    f.store.put(job_table, part_of(job_id("later")), "later/cancel", "{}");
+    f.store.put(job_table, part_of(job_id("last")), "last", encode_job(make_job("last")));
+    f.run_for(milliseconds(1'300));
+    f.store.has_lost_history = false;
+    f.run_for(milliseconds(1'300));
+    CHECK(f.entry.kept().jobs == 1);
+    CHECK(f.entry.kept().ended_jobs == job_count + 2);
+    CHECK(f.status("later").second == job_phase::cancelled);
+    CHECK(f.status("last").second == job_phase::pending);
+    CHECK(f.status("job0").second == job_phase::completed);
+}
--- a/libs/dispatch_node/tests/fake_store.hpp
+++ b/libs/dispatch_node/tests/fake_store.hpp
@@ -3,6 +3,7 @@
 // An in-memory implementation of row_store that can inject faults.
 
 #include <algorithm>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <utility>
@@ -78,6 +79,10 @@
                 const auto& [row_table, row_part, key] = address;
                 if (row_table == table && row_part == part && key >= from &&
                     (to.empty() || key < to)) {
+                    if (result.rows.size() == max_rows_per_read) {
+                        result.has_more = true;
+                        break;
+                    }
                     result.rows.push_back({{row_table, row_part, key}, row.first, row.second});
                 }
             }
@@ -150,6 +155,7 @@
     bool rejects_writes = false;
     bool loses_requests = false;
     bool loses_answers = false;
+    std::size_t max_rows_per_read = SIZE_MAX;
     // Watches are answered this long after their wait.
     milliseconds watch_delay{0};
     // Watches that begin meanwhile are never answered.
--- a/libs/dispatch_node/tests/table_watcher_test.cpp
+++ b/libs/dispatch_node/tests/table_watcher_test.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include "fake_store.hpp"
+#include "loop_support.hpp"
 
 using namespace tanagerpaddle;
 using namespace tanagerpaddle::dispatch;
@@ -129,3 +130,34 @@
     f.run_for(milliseconds(9'500));
     CHECK(f.keys == std::vector<std::string>{"first", "second"});
 }
+
+// Guards against a reader that holds a whole table in memory before it looks at the first row.
+TEST_CASE("a read gives its rows page by page, and begins again after a failure") {
+    eventio::event_loop loop;
+    fake_store store(loop);
+    store.max_rows_per_read = 2;
+    for (const auto* key : {"a", "b", "c", "d", "e"}) {
+        store.put("table", "part", key, "value");
+    }
+    std::string pages;
+    std::size_t rows_at_end = SIZE_MAX;
+    table_watcher::options options{"table", {"part"}};
+    options.on_page = [&](const std::vector<stored_row>& rows, bool is_first) {
+        pages += is_first ? "|" : "";
+        for (const auto& row : rows) {
+            pages += row.address.key;
+        }
+        pages += " ";
+        store.is_down = pages == "|ab ";
+    };
+    const table_watcher watcher(loop, store, options,
+                                [&](const std::vector<stored_row>& rows, bool is_full) {
+                                    rows_at_end = rows.size();
+                                    CHECK(is_full);
+                                });
+    eventio::testing::run_until(loop, milliseconds(1'000), [&] { return store.is_down; });
+    store.is_down = false;
+    eventio::testing::run_until(loop, milliseconds(9'000), [&] { return rows_at_end == 0; });
+    CHECK(rows_at_end == 0);
+    CHECK(pages == "|ab |ab cd e ");
+}
