dispatch: jobs that have not begun are kept up to a limit, the others deferred

Cause: the owner kept the specification and the state of every open job, 1 to 26 KB each. Nothing bounded how many there are in the table, and the next owner read the same rows.

Ruled out: a limit at the submission, which refuses work that could be served and helps no owner whose table is full; a limit on each job, which bounds no sum.

Change: beyond 32 MB, jobs of which no row is stored are deferred. What is not due goes first, then the last in turn of the queue that takes most; their rows are read again when it is their turn. A deferred job is pending, counts as queued and can be cancelled.

--- a/libs/dispatch/include/tanagerpaddle/dispatch.hpp
+++ b/libs/dispatch/include/tanagerpaddle/dispatch.hpp
@@ -524,6 +524,9 @@
     // Sends an agent the properties of a run that an earlier owner started.
     virtual void send_traits(const instance_name& instance, const task_key& task,
                              const task_traits& traits) = 0;
+    // The row of a deferred job is needed: call add_job with it, now or later. Asked again if that
+    // takes seconds.
+    virtual void load_job(const job_id& /*job*/) {}
     // For the log only.
     virtual void report_crash(const executor_crash& /*crash*/) {}
     // For the log only: a run is about to be stopped because it has made no progress.
@@ -743,6 +746,8 @@
         // Steps of occurrences that are due and have not begun, over all jobs, of which the owner
         // keeps a state: several times what starts between two plans, at most 50 ms apart.
         std::size_t max_offered_steps = 1'024;
+        // Memory of the jobs that have not begun; the others are deferred.
+        std::size_t max_unstarted_bytes = 32'000'000;
         filler_rules fillers;
         crash_rules crashes;
         long_running_rules long_running;
@@ -766,8 +771,11 @@
     void set_evacuated(const std::set<failure_domain_id>& domains);
 
     // --- jobs ----------------------------------------------------------------------------------
-    // Adds a stored job. `age` is the time since its acceptance. Jobs already added are ignored.
-    void add_job(const submitted_job& job, milliseconds age);
+    // Adds a stored job, or one that was deferred. `age` is the time since its acceptance;
+    // `has_rows` tells that an earlier owner wrote progress rows of it. Jobs already added are
+    // ignored. The coordinator may defer jobs that have not begun: it keeps little more of them
+    // than that they were accepted, and calls coordinator_orders::load_job when it is their turn.
+    void add_job(const submitted_job& job, milliseconds age, bool has_rows = false);
     // Adds a stored job that has ended, by the phase in its first progress row. Nothing but its
     // phase is kept, as of every job that has ended once its phase is stored and no run of it is
     // left; add_job and restore have no effect on it.
@@ -870,8 +878,9 @@
     [[nodiscard]] counts count() const;
     // What is kept in memory of all jobs.
     struct kept_state {
-        // Without those of which only the phase is kept.
+        // Without deferred ones, and those of which only the phase is kept.
         std::size_t jobs = 0;
+        std::size_t deferred_jobs = 0;
         std::size_t ended_jobs = 0;
         std::size_t occurrences = 0;
         std::size_t tasks = 0;
--- a/libs/dispatch/src/coordinator.cpp
+++ b/libs/dispatch/src/coordinator.cpp
@@ -122,10 +122,16 @@
 void coordinator::state::mark_started(job_state& job) {
     if (!job.has_started) {
         job.has_started = true;
-        // Timed jobs are not counted as queued.
-        if (job.submitted.spec.occurrences == 0) {
-            --queued_job_counts[job.submitted.queue];
-        }
+        forget_unstarted(job.submitted.id);
+        count_queued(job.submitted.queue, job.submitted.spec, -1);
+    }
+}
+
+// Timed jobs are not counted.
+void coordinator::state::count_queued(const queue_id& queue, const job_spec& spec,
+                                      std::int64_t change) {
+    if (spec.occurrences == 0) {
+        queued_job_counts[queue] += change;
     }
 }
 
@@ -144,7 +150,7 @@
     state_->evacuated_domains = domains;
 }
 
-void coordinator::add_job(const submitted_job& job, milliseconds age) {
+void coordinator::add_job(const submitted_job& job, milliseconds age, bool has_rows) {
     if (state_->ended_jobs.contains(job.id)) {
         return;
     }
@@ -155,19 +161,23 @@
     auto& added = position->second;
     const instant now = state_->time.now();
     added.submitted = job;
-    added.accepted_at = now - age;
+    const auto deferred = state_->take_deferred(job.id);
+    added.accepted_at = deferred ? deferred->accepted_at : now - age;
+    added.has_rows = has_rows;
     added.occurrences.reset(job.spec);
     if (job.spec.occurrences == 0) {
         (void)state_->open_occurrence(added, 0);
     }
     added.layout = row_layout(job.spec, state_->config.tasks_per_row);
-    state_->note_added(added);
     state_->active_jobs.insert(job.id);
-    if (job.spec.occurrences == 0) {
-        ++state_->queued_job_counts[job.queue];
+    if (!deferred) {
+        state_->note_added(added);
+        state_->count_queued(job.queue, job.spec, 1);
     }
     if (state_->early_cancellations.erase(job.id) != 0) {
         state_->finish_job(added, job_phase::cancelled);
+    } else if (!has_rows) {
+        state_->note_unstarted(added);  // may drop it
     }
 }
 
@@ -182,6 +192,12 @@
     if (state_->ended_jobs.contains(id)) {
         return;
     }
+    if (const auto deferred = state_->take_deferred(id)) {
+        // Its row tells the next owner; nothing else of it is stored.
+        state_->count_queued(deferred->queue, deferred->schedule, -1);
+        state_->ended_jobs.emplace(id, job_phase::cancelled);
+        return;
+    }
     auto* job = state_->find_job(id);
     if (job == nullptr) {
         state_->early_cancellations.insert(id);
@@ -198,6 +214,9 @@
     if (const auto ended = state_->ended_jobs.find(id); ended != state_->ended_jobs.end()) {
         return job_status{ended->second};
     }
+    if (state_->is_deferred(id)) {
+        return job_status{job_phase::pending};
+    }
     const auto found = state_->jobs.find(id);
     if (found == state_->jobs.end()) {
         return std::nullopt;
@@ -518,7 +537,7 @@
 
 coordinator::counts coordinator::count() const {
     counts result;
-    result.jobs = state_->active_jobs.size();
+    result.jobs = state_->active_jobs.size() + state_->deferred_count;
     result.early_cancellations = state_->early_cancellations.size();
     for (const auto& id : state_->active_jobs) {
         const auto& job = state_->jobs.at(id);
@@ -535,6 +554,9 @@
         }
         result.waiting_tasks += waiting;
     }
+    for (const auto& [id, job] : state_->unstarted_jobs) {
+        result.waiting_tasks += job.is_deferred ? job.tasks : 0;
+    }
     const instant now = state_->time.now();
     for (const auto& instance : state_->instances) {
         result.instances += instance.is_linked && instance.executor ? 1 : 0;
--- a/libs/dispatch/src/coordinator_state.hpp
+++ b/libs/dispatch/src/coordinator_state.hpp
@@ -18,6 +18,7 @@
 #include "run_times.hpp"
 #include "shares.hpp"
 #include "tanagerpaddle/dispatch.hpp"
+#include "unstarted_jobs.hpp"
 
 namespace tanagerpaddle::dispatch {
 
@@ -50,6 +51,9 @@
     std::vector<step_time> wait_ends;
 };
 
+// Memory of a job that has not begun while one occurrence of it is offered.
+[[nodiscard]] std::size_t bytes_of_unstarted(const job_state& job);
+
 // Memory of the waits for racks beside that of the steps.
 struct rack_wait_memory {
     // Decisions are made in passes at this distance; see rack_waits.cpp.
@@ -128,6 +132,7 @@
     void mark_begun(const task_key& key, task_state& task);
     // The job has started or reached a terminal phase: it no longer counts as queued.
     void mark_started(job_state& job);
+    void count_queued(const queue_id& queue, const job_spec& spec, std::int64_t change);
 
     // --- task lifecycle (task_lifecycle.cpp)
     void assign(const task_key& key, task_state& task, std::size_t instance);
@@ -325,6 +330,26 @@
     // Keeps only the phase of a job that has ended if nothing else of it is needed any more.
     void forget_if_over(const job_id& id);
 
+    // --- jobs that have not begun (deferral.cpp)
+    // Call it for each job that is added and of which no row is stored; may defer it at once.
+    void note_unstarted(const job_state& job);
+    [[nodiscard]] job_turn turn_of(const unstarted_job& job) const;
+    [[nodiscard]] static bool is_unstarted(const job_state& job);
+    // Drops a job that has begun, or all of them, from `unstarted_jobs`.
+    void forget_unstarted(const job_id& id);
+    void forget_started();
+    // Those whose rows are not asked for.
+    [[nodiscard]] std::vector<job_in_turn> unstarted_in_turn(bool are_deferred) const;
+    void defer_excess();
+    // Asks for the rows of deferred jobs whose turn it is.
+    void load_deferred();
+    [[nodiscard]] bool is_deferred(const job_id& id) const;
+    // Returns what is known of the job if it is deferred; it is not any more.
+    std::optional<unstarted_job> take_deferred(const job_id& id);
+    void drop_permits(const job_id& id);
+    // Forgets the job, which no instance has a run of.
+    void drop_job(const job_id& id);
+
     // --- placement (planning.cpp)
     void expire_instances();
     void place_ready_steps();
@@ -359,6 +384,12 @@
     std::set<job_id> active_jobs;
     // Jobs that have ended, with their stored phases; they are not in `jobs`.
     std::unordered_map<job_id, job_phase> ended_jobs;
+    // Jobs that have not begun, or had not when this was last looked at; and the bytes of those
+    // that are in `jobs`. The deferred ones are not.
+    std::map<job_id, unstarted_job> unstarted_jobs;
+    std::size_t unstarted_bytes = 0;
+    std::size_t deferred_count = 0;
+    instant next_load_at;
     // Jobs of which the next plan drops what has ended.
     std::set<job_id> discardable_jobs;
     // Cancelled jobs that have not been added yet: a job may be stored after its cancellation.
--- a/libs/dispatch/src/job_state.hpp
+++ b/libs/dispatch/src/job_state.hpp
@@ -212,6 +212,9 @@
     bool is_partly_written = false;
 };
 
+// Number of occurrences of a timed job that are due.
+[[nodiscard]] std::uint32_t count_due(const job_spec& spec, utc_millis now);
+
 struct job_state {
     submitted_job submitted;
     job_phase phase = job_phase::pending;
@@ -232,6 +235,8 @@
     // The stored first row holds tasks that are in no other stored row yet.
     bool writes_first_row_last = false;
     bool has_started = false;
+    // A row of the job may be stored.
+    bool has_rows = false;
     // Since when no task of the job has been assigned to an instance.
     std::optional<instant> idle_since;
 
--- a/libs/dispatch/src/kept_state.cpp
+++ b/libs/dispatch/src/kept_state.cpp
@@ -40,6 +40,11 @@
 
 }  // namespace
 
+std::size_t bytes_of_unstarted(const job_state& job) {
+    return sizeof(job) + bytes_of(job.submitted) + sizeof(occurrence_state) +
+           job.submitted.spec.steps.size() * sizeof(step_state);
+}
+
 coordinator::kept_state coordinator::kept() const {
     kept_state kept;
     for (const auto& [id, job] : state_->jobs) {
@@ -49,6 +54,10 @@
             add(kept, occurrence);
         }
     }
+    kept.deferred_jobs = state_->deferred_count;
+    for (const auto& [id, job] : state_->unstarted_jobs) {
+        kept.bytes += sizeof(id) + sizeof(job) + bytes_of(id.value()) + bytes_of(job.queue.value());
+    }
     for (const auto& [id, phase] : state_->ended_jobs) {
         ++kept.ended_jobs;
         kept.bytes += sizeof(id) + sizeof(phase) + bytes_of(id.value());
--- a/libs/dispatch/src/occurrences.cpp
+++ b/libs/dispatch/src/occurrences.cpp
@@ -13,7 +13,8 @@
     return spec.first_due.value() + std::int64_t{occurrence} * spec.interval.count();
 }
 
-// Number of occurrences that are due.
+}  // namespace
+
 std::uint32_t count_due(const job_spec& spec, utc_millis now) {
     const auto late = now.value() - spec.first_due.value();
     if (late < 0) {
@@ -26,8 +27,6 @@
         std::min<std::int64_t>(late / spec.interval.count() + 1, spec.occurrences));
 }
 
-}  // namespace
-
 occurrence_state& coordinator::state::open_occurrence(job_state& job, std::uint32_t number) {
     if (auto* found = job.occurrences.find(number); found != nullptr) {
         return *found;
@@ -153,7 +152,7 @@
         !job.occurrences.kept().empty()) {
         return;
     }
-    jobs.erase(id);
+    drop_job(id);
     ended_jobs.emplace(id, phase);
 }
 
--- a/libs/dispatch/src/planning.cpp
+++ b/libs/dispatch/src/planning.cpp
@@ -26,6 +26,7 @@
 
 void coordinator::plan() {
     state_->discard_ended_state();
+    state_->load_deferred();
     state_->expire_instances();
     state_->release_due_occurrences();
     const bool is_inspection_due = state_->time.now() - state_->inspected_at >= inspection_interval;
--- a/libs/dispatch/src/progress.cpp
+++ b/libs/dispatch/src/progress.cpp
@@ -152,6 +152,7 @@
     }
     state_->clear_row(*job, number);
     job->restored_rows.insert(number);
+    job->has_rows = true;
     const bool has_known_steps = state_->restore_waits(*job, *record);
     const bool is_consistent =
         state_->restore_entries(*job, *record, number, ends_by) && has_known_steps;
@@ -178,6 +179,7 @@
 // Writing
 
 void coordinator::state::queue_write(job_state& job) {
+    job.has_rows = true;
     if (!job.is_dirty) {
         job.is_dirty = true;
         dirty_jobs.push_back(job.submitted.id);
--- a/libs/dispatch/src/task_lifecycle.cpp
+++ b/libs/dispatch/src/task_lifecycle.cpp
@@ -459,10 +459,7 @@
             }
         }
     }
-    const auto permits = permits_by_step.lower_bound({id, 0, 0});
-    permits_by_step.erase(permits,
-                          std::find_if(permits, permits_by_step.end(),
-                                       [&](const auto& entry) { return entry.first.job != id; }));
+    drop_permits(id);
     discard_later(id);
     mark_dirty(job, 0);
 }
--- a/libs/dispatch/tests/kept_state_test.cpp
+++ b/libs/dispatch/tests/kept_state_test.cpp
@@ -4,9 +4,7 @@
 
 #include <doctest/doctest.h>
 
-#include <utility>
-
-#include "world.hpp"
+#include "owner.hpp"
 
 using namespace tanagerpaddle;
 using namespace tanagerpaddle::dispatch;
@@ -17,88 +15,6 @@
 
 namespace {
 
-struct recorder final : coordinator_orders {
-    void start(const instance_name&, const start_order& order) override {
-        started.push_back(order);
-    }
-    void stop(const instance_name&, const task_key&, run_number) override {}
-    void acknowledge(const instance_name&, executor_incarnation, completion_number) override {}
-    void request_permits(const step_key&, const std::vector<executor_id>&) override {}
-    void send_traits(const instance_name&, const task_key&, const task_traits&) override {}
-
-    std::vector<start_order> started;
-};
-
-// An owner with one instance, and the table that it writes.
-struct owner {
-    manual_clock& time;
-    recorder orders;
-    coordinator jobs{{}, time, orders};
-    std::map<std::pair<job_id, std::uint32_t>, std::string>& rows;
-    std::uint64_t completions = 0;
-    const instance_name instance{"instance"};
-
-    owner(manual_clock& source, std::map<std::pair<job_id, std::uint32_t>, std::string>& table)
-        : time(source), rows(table) {
-        jobs.set_queues({{queue_id("queue"), default_rules()}});
-    }
-    void add(const submitted_job& job) { jobs.add_job(job, milliseconds(0)); }
-    // Reads the table as a new owner does; the instance has no runs.
-    void load(const std::vector<submitted_job>& accepted) {
-        for (const auto& [key, row] : rows) {
-            const auto phase = decode_job_phase(row);
-            if (key.second == 0 && phase && is_terminal(*phase)) {
-                jobs.add_ended(key.first, *phase);
-            }
-        }
-        for (const auto& job : accepted) {
-            add(job);
-        }
-        for (const auto& [key, row] : rows) {
-            CHECK(jobs.restore(key.first, row, time.now(), key.second));
-        }
-    }
-    void claim(std::int64_t slots) {
-        executor_info info;
-        info.id = executor_id("executor");
-        info.incarnation = executor_incarnation(1);
-        info.service = default_rules().service;
-        info.capacity = {millicores(slots * 1'000), mebibytes(1'000'000), accelerator_count(0)};
-        jobs.instance_claimed(instance, {info, {}, {}});
-    }
-    // Plans and writes; returns what starts.
-    std::vector<start_order> start() {
-        time.advance(milliseconds(50));
-        jobs.progress_reported(instance, {}, {});
-        jobs.plan();
-        while (jobs.has_writes()) {
-            for (const auto& row : jobs.begin_write()) {
-                rows[{row.job, row.number}] = row.value;
-            }
-            jobs.write_done();
-        }
-        return std::exchange(orders.started, {});
-    }
-    void finish(const std::vector<start_order>& runs) {
-        for (const auto& order : runs) {
-            jobs.start_reported(instance, order.task, order.run, start_outcome::started);
-            jobs.runs_finished(instance, executor_incarnation(1),
-                               {{completion_number(++completions), order.task, order.run,
-                                 run_outcome::succeeded, ""}});
-        }
-    }
-    // Lets all tasks that start end at once; returns how many.
-    std::size_t run(int rounds) {
-        std::size_t count = 0;
-        for (int i = 0; i < rounds; ++i) {
-            const auto runs = start();
-            count += runs.size();
-            finish(runs);
-        }
-        return count;
-    }
-};
-
 struct fixture {
     manual_clock time;
     std::map<std::pair<job_id, std::uint32_t>, std::string> rows;
--- a/libs/dispatch/tests/random_faults_test.cpp
+++ b/libs/dispatch/tests/random_faults_test.cpp
@@ -260,6 +260,7 @@
     options.seed = seed;
     options.tasks_per_row = 7;
     options.max_offered_steps = 8;
+    options.max_unstarted_bytes = random_source(seed).chance(0.5) ? 2'000 : 32'000'000;
     world system(options);
     system.set_faults(faults);
     random_source random(seed * 977 + 3);
--- a/libs/dispatch/tests/world.cpp
+++ b/libs/dispatch/tests/world.cpp
@@ -288,6 +288,16 @@
         permit_requests.push_back({step, executors});
     }
     void send_traits(const instance_name&, const task_key&, const task_traits&) override {}
+    void load_job(const job_id& id) override {
+        if (time.now() < writes_fail_until) {
+            return;
+        }
+        at(write_delay, [this, id, read_generation = generation] {
+            if (read_generation == generation) {
+                jobs->add_job(accepted.at(id), milliseconds(0));
+            }
+        });
+    }
     void report_locality_wait(const locality_wait&) override { ++locality_waits; }
     void report_locality_move(const task_key&, const rack_id&) override { ++locality_moves; }
     void report_crash(const executor_crash& crash) override {
@@ -1005,6 +1015,7 @@
     settings.tasks_per_row = options.tasks_per_row;
     settings.max_rows_per_write = options.max_rows_per_write;
     settings.max_offered_steps = options.max_offered_steps;
+    settings.max_unstarted_bytes = options.max_unstarted_bytes;
     settings.long_running = options.long_running;
     settings.ordering = options.ordering;
     settings.has_fair_shares = options.has_fair_shares;
@@ -1023,7 +1034,9 @@
         }
     }
     for (const auto& [id, job] : accepted) {
-        jobs->add_job(job, milliseconds(0));
+        const auto first_row = progress.lower_bound({id, 0});
+        const bool has_rows = first_row != progress.end() && first_row->first.first == id;
+        jobs->add_job(job, milliseconds(0), has_rows);
     }
     for (const auto& [id, cancelled_at] : cancelled) {
         jobs->cancel_job(id);
--- a/libs/dispatch/tests/world.hpp
+++ b/libs/dispatch/tests/world.hpp
@@ -20,6 +20,7 @@
     std::uint32_t tasks_per_row = max_tasks_per_row;
     std::size_t max_rows_per_write = coordinator::options{}.max_rows_per_write;
     std::size_t max_offered_steps = coordinator::options{}.max_offered_steps;
+    std::size_t max_unstarted_bytes = coordinator::options{}.max_unstarted_bytes;
     // Time after a takeover at which the runs of instances that the new coordinator has not claimed
     // count as ended; no owner is simulated that grants leases or sends starts after its takeover.
     milliseconds unclaimed_runs_end_after = lease_timing{}.expiry_delay();
--- a/libs/dispatch_node/src/owner_session.cpp
+++ b/libs/dispatch_node/src/owner_session.cpp
@@ -138,6 +138,7 @@
     }
     if (!coordinator_.status(job)) {
         progress_.push_back(row);
+        jobs_with_rows_.insert(job);
     }
 }
 
@@ -229,12 +230,18 @@
     if (coordinator_.status(job_id(key))) {
         return;  // a full read repeats it
     }
+    add_job(row);
+}
+
+void owner_session::add_job(const stored_row& row) {
+    const auto& key = row.address.key;
     try {
         auto job = decode_job(row.value);
         job.id = job_id(key);
         const auto age = std::clamp<std::int64_t>(
             env_.time->utc_now().value() - job.accepted_at.value(), 0, 60'000);
-        coordinator_.add_job(job, milliseconds(is_loaded_ ? 0 : age));
+        coordinator_.add_job(job, milliseconds(is_loaded_ ? 0 : age),
+                             jobs_with_rows_.contains(job.id));
         early_cancellations_.erase(job.id);
         if (is_loaded_) {
             log_event(log_level::info, "job_added",
@@ -263,6 +270,21 @@
     early_cancellations_.erase(job);
 }
 
+void owner_session::load_job(const job_id& job) {
+    const auto& key = job.value();
+    env_.store->read(job_table, part_of(job), key, key + key_successor_suffix, load_timeout,
+                     [weak = weak_from_this()](const read_result& result) {
+                         const auto self = weak.lock();
+                         if (!self || self->is_closed_ || result.outcome != store_outcome::done) {
+                             return;
+                         }
+                         for (const auto& row : result.rows) {
+                             self->add_job(row);
+                         }
+                         self->schedule_plan();
+                     });
+}
+
 std::string_view owner_session::phase_name(const job_id& job) const {
     const auto found = coordinator_.status(job);
     return found ? name(found->phase) : "unknown";
@@ -283,11 +305,13 @@
                {"progress_rows", progress_.size()},
                {"jobs", coordinator_.count().jobs},
                {"kept_jobs", kept.jobs},
+               {"deferred_jobs", kept.deferred_jobs},
                {"ended_jobs", kept.ended_jobs},
                {"kept_occurrences", kept.occurrences},
                {"kept_tasks", kept.tasks},
                {"kept_bytes", kept.bytes}});
     progress_ = {};
+    jobs_with_rows_ = {};
     watch_agents();
 }
 
--- a/libs/dispatch_node/src/owner_session.hpp
+++ b/libs/dispatch_node/src/owner_session.hpp
@@ -63,6 +63,7 @@
     void request_permits(const step_key& step, const std::vector<executor_id>& executors) override;
     void send_traits(const instance_name& instance, const task_key& task,
                      const task_traits& traits) override;
+    void load_job(const job_id& job) override;
     void report_crash(const executor_crash& crash) override;
     void report_stall(const instance_name& instance, const task_key& task, run_number run,
                       milliseconds without_progress) override;
@@ -103,6 +104,7 @@
     // `stored` holds the keys of cancellations.
     void forget_cancellations_but(const std::set<std::string>& stored);
     void add_row(const stored_row& row);
+    void add_job(const stored_row& row);
     void add_cancellation(const job_id& job, row_version version);
     void forget_cancellation(const job_id& job);
     void remove_early_cancellations();
@@ -147,6 +149,8 @@
     std::map<instance_name, agent_link> agents_;
     // Rows of jobs that were open when they were read, until the jobs are read.
     std::vector<stored_row> progress_;
+    // The jobs of these rows.
+    std::set<job_id> jobs_with_rows_;
     // What is new in the pages of a repeated full read, until it is complete.
     std::vector<stored_row> read_rows_;
     instant last_write_at_;
--- a/libs/telemetry/include/tanagerpaddle/telemetry.hpp
+++ b/libs/telemetry/include/tanagerpaddle/telemetry.hpp
@@ -167,6 +167,7 @@
     workers_quarantined,
     queue_share,
     kept_jobs,
+    kept_deferred_jobs,
     kept_ended_jobs,
     kept_occurrences,
     kept_tasks,
--- a/libs/telemetry/src/metric_table.cpp
+++ b/libs/telemetry/src/metric_table.cpp
@@ -85,6 +85,8 @@
                       "Largest share of its service's capacity that a queue has in use."},
     metric_descriptor{kept_jobs, "tanagerpaddle_kept_jobs", level, "jobs", "",
                       "Jobs that the owner of the coordinator keeps in memory."},
+    metric_descriptor{kept_deferred_jobs, "tanagerpaddle_kept_deferred_jobs", level, "jobs", "",
+                      "Jobs that have not begun and whose rows the owner reads again later."},
     metric_descriptor{kept_ended_jobs, "tanagerpaddle_kept_ended_jobs", level, "jobs", "",
                       "Jobs of which the owner keeps the phase in which they ended only."},
     metric_descriptor{kept_occurrences, "tanagerpaddle_kept_occurrences", level, "occurrences", "",
