--- a/libs/dispatch_node/tests/entry_node_test.cpp
+++ b/libs/dispatch_node/tests/entry_node_test.cpp
@@ -391,3 +391,37 @@
     CHECK(f.status("last").second == job_phase::pending);
     CHECK(f.status("job0").second == job_phase::completed);
 }
+
+// Guards against jobs that are forgotten once the owner does not keep them, and against owners that
+// keep as many as the table holds.
+TEST_CASE("an owner keeps a bounded part of the jobs that have not begun, and the others in turn") {
+    constexpr int job_count = 2'000;
+    constexpr int last_count = 100;
+    fixture f(false);
+    f.entry.set_queues({{queue_id("queue"), queue_rules{}}});
+    auto large = make_job("job");
+    large.spec.payload.assign(4'000, 'x');
+    large.spec.steps.resize(max_steps);
+    for (int i = 0; i < job_count; ++i) {
+        large.id = job_id("job" + std::to_string(i));
+        f.store.put(job_table, part_of(large.id), large.id.value(), encode_job(large));
+    }
+    f.entry.start();
+    REQUIRE(eventio::testing::run_until(f.loop, milliseconds(8'000), [&] {
+        return f.entry.kept().jobs + f.entry.kept().deferred_jobs == job_count;
+    }));
+    CHECK(f.entry.kept().deferred_jobs > last_count);
+    CHECK(f.entry.kept().bytes <= 34'000'000);
+    for (int i = last_count; i < job_count; ++i) {
+        const job_id id("job" + std::to_string(i));
+        f.store.put(job_table, part_of(id), id.value() + "/cancel", "{}");
+    }
+    eventio::testing::run_until(f.loop, milliseconds(20'000), [&] {
+        return f.entry.kept().jobs == last_count && f.entry.kept().deferred_jobs == 0;
+    });
+    CHECK(f.entry.kept().jobs == last_count);
+    CHECK(f.entry.kept().deferred_jobs == 0);
+    CHECK(f.entry.count().waiting_tasks == last_count * max_steps);
+    CHECK(f.status("job0").second == job_phase::pending);
+    CHECK(f.status("job1999").second == job_phase::cancelled);
+}
