--- a/libs/dispatch/src/unstarted_jobs.hpp
+++ b/libs/dispatch/src/unstarted_jobs.hpp
@@ -11,7 +11,7 @@
 
 namespace tanagerpaddle::dispatch {
 
-// When a job gets capacity among those of its queue that have not begun; the lesser goes first.
+// Orders the jobs of a queue that have not begun; the lesser gets capacity first.
 struct job_turn {
     // Its first occurrence is not due, or its queue does not exist.
     bool must_wait = false;
@@ -46,7 +46,7 @@
     std::optional<instant> asked_until;
 };
 
-// Refers to the names of a job that is known elsewhere, so that choices among many copy little.
+// Refers to the names of a job in a container that outlives the choice: there may be many jobs.
 struct job_in_turn {
     const job_id* id = nullptr;
     const queue_id* queue = nullptr;
@@ -56,7 +56,8 @@
 
 // Chooses jobs of `kept` that take `excess` bytes or more together: first those that must wait, the
 // latest first, then those of the queue that takes most, the last in turn first. A queue full of
-// work that cannot start then leaves room for the jobs of other queues.
+// work that cannot start then leaves room for the jobs of other queues. The first in turn of each
+// queue is not chosen unless it must wait.
 [[nodiscard]] std::vector<job_id> choose_deferred(std::vector<job_in_turn> kept,
                                                   std::size_t excess);
 // Chooses at most `max_count` deferred jobs to be kept again, those of the queue that takes least
