--- a/libs/dispatch/src/unstarted_jobs.cpp
+++ b/libs/dispatch/src/unstarted_jobs.cpp
@@ -27,7 +27,9 @@
 }
 
 struct queue_in_turn {
+    // Of the kept jobs.
     std::size_t bytes = 0;
+    // The one to be replaced next is at the end, and so is the one to be chosen next.
     std::vector<job_in_turn> kept;
     std::vector<job_in_turn> deferred;
 };
@@ -38,6 +40,52 @@
     return a.second.bytes < b.second.bytes;
 }
 
+// At most `max_count` kept and deferred jobs of each queue are needed for a choice of so many.
+queues_in_turn by_queue(const std::vector<job_in_turn>& kept,
+                        const std::vector<job_in_turn>& deferred, std::size_t max_count) {
+    queues_in_turn queues;
+    for (const auto& job : kept) {
+        auto& queue = queues[*job.queue];
+        queue.bytes += job.bytes;
+        queue.kept.push_back(job);
+    }
+    for (const auto& job : deferred) {
+        if (!job.turn.must_wait) {
+            queues[*job.queue].deferred.push_back(job);
+        }
+    }
+    for (auto& [id, queue] : queues) {
+        keep_first(queue.deferred, max_count, is_earlier);
+        std::reverse(queue.deferred.begin(), queue.deferred.end());
+        keep_first(queue.kept, max_count, is_later);
+        std::reverse(queue.kept.begin(), queue.kept.end());
+    }
+    return queues;
+}
+
+bool outranks_kept(const queue_in_turn& queue, const job_in_turn& job) {
+    return !queue.kept.empty() && job.turn.outranks(queue.kept.back().turn);
+}
+
+// The queue that takes least of those whose next deferred job may be chosen; nullptr if none may.
+queue_in_turn* next_to_choose_from(queues_in_turn& queues, std::size_t taken, std::size_t budget) {
+    const auto largest = std::max_element(queues.begin(), queues.end(), takes_less);
+    queue_in_turn* next = nullptr;
+    for (auto& [id, queue] : queues) {
+        if (queue.deferred.empty() || (next != nullptr && next->bytes <= queue.bytes)) {
+            continue;
+        }
+        const auto& job = queue.deferred.back();
+        const bool has_room = taken + job.bytes <= budget;
+        const bool takes_little =
+            queue.kept.empty() || queue.bytes + job.bytes < largest->second.bytes / 2;
+        if (has_room || takes_little || outranks_kept(queue, job)) {
+            next = &queue;
+        }
+    }
+    return next;
+}
+
 }  // namespace
 
 bool operator<(const job_turn& a, const job_turn& b) {
@@ -89,67 +137,29 @@
 std::vector<job_id> choose_kept(const std::vector<job_in_turn>& kept,
                                 const std::vector<job_in_turn>& deferred, std::size_t budget,
                                 std::size_t max_count) {
-    queues_in_turn queues;
+    auto queues = by_queue(kept, deferred, max_count);
     std::size_t taken = 0;
     for (const auto& job : kept) {
         taken += job.bytes;
-        auto& queue = queues[*job.queue];
-        queue.bytes += job.bytes;
-        queue.kept.push_back(job);
-    }
-    for (const auto& job : deferred) {
-        if (!job.turn.must_wait) {
-            queues[*job.queue].deferred.push_back(job);
-        }
-    }
-    for (auto& [id, queue] : queues) {
-        // The next one to be chosen, and the next to be replaced, is at the end.
-        keep_first(queue.deferred, max_count, is_earlier);
-        std::reverse(queue.deferred.begin(), queue.deferred.end());
-        keep_first(queue.kept, max_count, is_later);
-        std::reverse(queue.kept.begin(), queue.kept.end());
     }
     std::vector<job_id> chosen;
     while (chosen.size() < max_count) {
-        std::erase_if(queues, [](const auto& entry) {
-            return entry.second.kept.empty() && entry.second.deferred.empty();
-        });
-        auto next = queues.end();
-        std::size_t largest = 0;
-        for (auto each = queues.begin(); each != queues.end(); ++each) {
-            largest = std::max(largest, each->second.bytes);
-        }
-        for (auto each = queues.begin(); each != queues.end(); ++each) {
-            const auto& queue = each->second;
-            if (queue.deferred.empty()) {
-                continue;
-            }
-            const auto& job = queue.deferred.back();
-            const bool has_room = taken + job.bytes <= budget;
-            const bool takes_little = queue.kept.empty() || queue.bytes + job.bytes < largest / 2;
-            const bool outranks = !queue.kept.empty() && job.turn.outranks(queue.kept.back().turn);
-            if ((has_room || takes_little || outranks) &&
-                (next == queues.end() || takes_less(*each, *next))) {
-                next = each;
-            }
-        }
-        if (next == queues.end()) {
+        auto* const queue = next_to_choose_from(queues, taken, budget);
+        if (queue == nullptr) {
             break;
         }
-        auto& queue = next->second;
-        const auto job = queue.deferred.back();
-        if (taken + job.bytes > budget && !queue.kept.empty() &&
-            job.turn.outranks(queue.kept.back().turn)) {
+        const auto job = queue->deferred.back();
+        queue->deferred.pop_back();
+        if (taken + job.bytes > budget && outranks_kept(*queue, job)) {
             // The one that it outranks is deferred for it.
-            queue.bytes -= queue.kept.back().bytes;
-            taken -= queue.kept.back().bytes;
-            queue.kept.pop_back();
+            queue->bytes -= queue->kept.back().bytes;
+            taken -= queue->kept.back().bytes;
+            queue->kept.pop_back();
         }
-        queue.bytes += job.bytes;
+        queue->bytes += job.bytes;
         taken += job.bytes;
+        queue->kept.insert(queue->kept.begin(), job);
         chosen.push_back(*job.id);
-        queue.kept.insert(queue.kept.begin(), job);
-        queue.deferred.pop_back();
     }
     return chosen;
 }
